--- /dev/null
+++ b/src/main/java/topazladder/Brain.java
@@ -0,0 +1,872 @@
+package topazladder;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import topazladder.ticket.Ending;
+import topazladder.ticket.Offering;
+import topazladder.ticket.Offering.Repeats;
+import topazladder.ticket.Ruling;
+import topazladder.ticket.Ruling.What;
+import topazladder.ticket.Ticket;
+
+/**
+ * What one server takes, runs and turns away. One Brain lives in each server process and shares nothing.
+ * Its caller tells it each happening by one method, with the time in seconds since its start, and carries
+ * out the rulings it gets back in their order. The types are in {@code topazladder.ticket}; docs/design.md
+ * tells the mechanism. A ticket passes the stages below from top to bottom; what ends passes them upwards.
+ */
+public final class Brain {
+    /** Rulings take effect one batch late and footprints are floats: never plan for the last of the memory. */
+    private static final double MEMORY_USED = 0.9;
+    /** Fingerprints may not starve the tickets in hand, whatever their window. */
+    private static final double MEMORY_REMEMBERED = 0.5;
+    /** The crowd is averaged by others over their own span, so stay clear of what kills. */
+    private static final double CROWD_USED = 0.75;
+
+    private final RandomGenerator chance;
+    private final Map<String, Object> terms;
+    private final List<Ruling> rulings = new ArrayList<>();
+    /** All in hand; emptied by their endings. */
+    private final Map<Ticket, Case> open = new LinkedHashMap<>();
+    /** Ended without having run at this very moment; emptied when time moves on. */
+    private final Set<Ticket> unrunNow = new HashSet<>();
+    /** One for each offering in the terms. */
+    private final Map<Offering, Mean> runTimes = new LinkedHashMap<>();
+    private final Repeating repeats;
+    private final Draining drain;
+    private final Memory memory;
+    private final Level level;
+    private final Hold hold;
+    private final Cores cores;
+    private final Calls calls;
+    private final List<Stage> stages;
+    private final double period;
+    private final double shortestLimit;
+    private double now;
+    private final Flow finished;
+    private Map<String, Double> gauges = Map.of();
+
+    public Brain(RandomGenerator chance, Map<String, Object> terms) {
+        this.chance = chance;
+        this.terms = terms;
+        double shortest = Double.POSITIVE_INFINITY;
+        for (Offering o : offerings()) {
+            shortest = Math.min(shortest, o.softLimit());
+            runTimes.put(o, new Mean());
+        }
+        shortestLimit = shortest;
+        // A quarter of the slack leaves room for a late batch and costs few timers.
+        period = Math.max(number("tick", 0.001), Math.max(0.01, number("answer-slack", 0) / 4));
+        finished = new Flow(shortestLimit);
+        repeats = new Repeating();
+        drain = new Draining();
+        memory = new Memory();
+        level = new Level();
+        hold = new Hold();
+        cores = new Cores();
+        calls = new Calls();
+        stages = List.of(repeats, drain, memory, level, hold, cores, calls);
+    }
+
+    public List<Ruling> start(double time) {
+        at(time);
+        // A check answered from store costs next to nothing; a real one would load cores and what lies below.
+        rulings.add(Ruling.health(true));
+        rulings.add(Ruling.of(What.WAKE, period));
+        return ruled();
+    }
+
+    public List<Ruling> arrive(double time, Ticket ticket) {
+        at(time);
+        Case c = new Case(ticket, now);
+        open.put(ticket, c);
+        memory.taken += c.footprint();
+        repeats.take(c);
+        return ruled();
+    }
+
+    public List<Ruling> callWanted(double time, Ticket ticket) {
+        at(time);
+        Case c = open.get(ticket);
+        if (c != null && c.place == Place.RUNNING) {
+            cores.leave(c, Place.PARKED);
+            if (c.answered) {
+                rulings.add(Ruling.of(What.BREAK_OFF, ticket));
+            } else {
+                calls.take(c);
+            }
+        }
+        return ruled();
+    }
+
+    public List<Ruling> callEnded(double time, Ticket ticket, Ending ending, double elapsed) {
+        at(time);
+        Case c = open.get(ticket);
+        if (c != null && c.place == Place.CALLING) {
+            calls.ended(c, ending, elapsed);
+        }
+        return ruled();
+    }
+
+    public List<Ruling> runEnded(double time, Ticket ticket, Ending ending, double elapsed) {
+        at(time);
+        Case c = open.get(ticket);
+        if (c != null) {
+            if (ending == Ending.OK && !c.answered && c.place == Place.RUNNING) {
+                finished.add(1);
+                runTimes.get(c.offering).add(elapsed);
+            }
+            // Any other ending leaves no answer only where a run was stopped, which is never done before it.
+            close(c);
+        }
+        return ruled();
+    }
+
+    public List<Ruling> callerGone(double time, Ticket ticket) {
+        at(time);
+        Case c = open.get(ticket);
+        if (c != null && !c.answered) {
+            c.answered = true;
+            if (c.place == Place.RUNNING) {
+                stop(c);
+            } else if (c.place != Place.CALLING && c.place != Place.PARKED) {
+                close(c);
+            }
+        }
+        return ruled();
+    }
+
+    public List<Ruling> timer(double time, Map<String, Double> readings) {
+        at(time);
+        gauges = readings;
+        for (Case c : List.copyOf(open.values())) {
+            if (!c.answered && c.place != Place.OVER && now + period >= Math.min(c.due, drain.lastAnswer())) {
+                giveUp(c);
+            }
+        }
+        stages.forEach(Stage::tend);
+        rulings.add(Ruling.of(What.WAKE, period));
+        return ruled();
+    }
+
+    /** @param left seconds until the process is stopped */
+    public List<Ruling> leave(double time, double left) {
+        at(time);
+        drain.begin(left);
+        return ruled();
+    }
+
+    /** Whether the ticket can still be named in a ruling. */
+    public boolean inHand(Ticket ticket) {
+        return open.containsKey(ticket);
+    }
+
+    // ---- What all stages use
+
+    private enum Place { HELD, FOLLOWING, JOINED, RUNNING, PARKED, CALLING, OVER }
+
+    /** One ticket in hand and how far it has come. */
+    private final class Case {
+        final Ticket ticket;
+        final Offering offering;
+        final double arrived;
+        final double due;
+        /** Past this nothing is earned any more. */
+        final double useful;
+        Place place = Place.HELD;
+        boolean ran;
+        /** Its final answer is given, or nobody waits for one. */
+        boolean answered;
+        double started;
+        double waitingSince;
+        /** The repeats that wait for its end; emptied there. */
+        final List<Case> followers = new ArrayList<>(0);
+        Entry entry;
+
+        Case(Ticket ticket, double now) {
+            this.ticket = ticket;
+            offering = ticket.offering();
+            arrived = now - ticket.waited();
+            due = Math.max(now, ticket.patience() > 0 ? now + ticket.patience() : arrived + offering.outerLimit());
+            useful = offering.latePayoff() > 0 ? due : Math.min(due, arrived + offering.softLimit());
+        }
+
+        double footprint() {
+            boolean small = place == Place.HELD || place == Place.FOLLOWING;
+            return place == Place.OVER ? 0 : ticket.footprint() * (small ? 1 : number("run-factor", 1));
+        }
+
+        boolean retriable() {
+            return offering.repeats() == Repeats.RETRIABLE;
+        }
+
+        /** Whether nothing more can be earned with it if it starts in so many seconds. */
+        boolean hopeless(double wait) {
+            return now + wait + runTimes.get(offering).value > useful;
+        }
+    }
+
+    private record Entry(double until) {
+    }
+
+    /** A stage keeps a ticket, ends it or passes it on; back tells each, last first, that it has ended. */
+    private abstract class Stage {
+        abstract void take(Case c);
+
+        void back(Case c) {
+        }
+
+        void tend() {
+        }
+    }
+
+    private void at(double time) {
+        if (time > now) {
+            unrunNow.clear();
+        }
+        now = time;
+    }
+
+    private List<Ruling> ruled() {
+        List<Ruling> result = List.copyOf(rulings);
+        rulings.clear();
+        return result;
+    }
+
+    private void move(Case c, Place place) {
+        memory.taken -= c.footprint();
+        c.place = place;
+        memory.taken += c.footprint();
+    }
+
+    private void defer(Case c, double stayAway, boolean notElsewhere) {
+        double most = flag("stay-away", false) ? number("stay-away-most", 0) : 0;
+        rulings.add(Ruling.defer(c.ticket, Math.min(stayAway, most), notElsewhere));
+        c.answered = true;
+    }
+
+    /** The final answer, at once; what still runs is stopped where that can be done. */
+    private void giveUp(Case c) {
+        if (!c.ran || c.retriable()) {
+            defer(c, hold.drainTime(), c.ticket.laterTry());
+        } else {
+            rulings.add(Ruling.of(What.BREAK_OFF, c.ticket));
+            c.answered = true;
+        }
+        switch (c.place) {
+            case RUNNING -> {
+                runTimes.get(c.offering).add(now - c.started);
+                stop(c);
+            }
+            // The end of its run is still to be told.
+            case CALLING, PARKED -> calls.abandon(c);
+            default -> close(c);
+        }
+    }
+
+    private void stop(Case c) {
+        if (!word("halt", "none").equals("none")) {
+            rulings.add(Ruling.of(What.STOP, c.ticket));
+        }
+    }
+
+    private void close(Case c) {
+        for (int i = stages.size() - 1; i >= 0; i--) {
+            stages.get(i).back(c);
+        }
+        move(c, Place.OVER);
+        open.remove(c.ticket);
+        if (!c.ran) {
+            unrunNow.add(c.ticket);
+        }
+        repeats.release(c);
+        hold.pull();
+    }
+
+    // ---- Repeats: no effect twice
+
+    private final class Repeating extends Stage {
+        /** Emptied as windows end, and by tickets that end without having run. */
+        private final PriorityQueue<Entry> entries = new PriorityQueue<>(Comparator.comparing(Entry::until));
+
+        @Override
+        void take(Case c) {
+            if (c.offering.repeats() != Repeats.FINGERPRINTED) {
+                drain.take(c);
+                return;
+            }
+            Ticket first = c.ticket.forerunner();
+            Case forerunner = first == null ? null : open.get(first);
+            if (forerunner != null && !forerunner.ran) {
+                follow(c, forerunner);
+            } else if (c.ticket.repeat() && !unrunNow.contains(first)) {
+                join(c);
+            } else {
+                takeNew(c);
+            }
+        }
+
+        private void takeNew(Case c) {
+            double all = (entries.size() + 1) * number("fingerprint-footprint", 0);
+            // Run unremembered it could run twice; a window too long for the memory costs some tickets instead.
+            if (all > number("memory", Double.MAX_VALUE) * MEMORY_REMEMBERED) {
+                defer(c, entries.isEmpty() ? 0 : entries.peek().until() - now, false);
+                close(c);
+                return;
+            }
+            drain.take(c);
+            double until = c.arrived + c.offering.window();
+            if (c.place != Place.OVER && until > now) {
+                rulings.add(Ruling.of(What.REMEMBER, c.ticket, until - now));
+                c.entry = new Entry(until);
+                entries.add(c.entry);
+            }
+        }
+
+        /** Two held copies must not both run: the later waits for what becomes of the first. */
+        private void follow(Case c, Case forerunner) {
+            move(c, Place.FOLLOWING);
+            forerunner.followers.add(c);
+        }
+
+        private void join(Case c) {
+            move(c, Place.JOINED);
+            rulings.add(Ruling.of(What.JOIN, c.ticket));
+        }
+
+        @Override
+        void back(Case c) {
+            if (c.entry != null && !c.ran) {
+                rulings.add(Ruling.of(What.FORGET, c.ticket));
+                entries.remove(c.entry);
+            }
+        }
+
+        void release(Case c) {
+            Case heir = null;
+            for (Case f : c.followers) {
+                if (f.place == Place.FOLLOWING) {
+                    if (c.ran) {
+                        join(f);
+                    } else if (heir == null) {
+                        heir = f;
+                    } else {
+                        follow(f, heir);
+                    }
+                }
+            }
+            c.followers.clear();
+            if (heir != null) {
+                move(heir, Place.HELD);
+                takeNew(heir);
+            }
+        }
+
+        @Override
+        void tend() {
+            while (!entries.isEmpty() && entries.peek().until() <= now) {
+                entries.poll();
+            }
+        }
+
+        double footprint() {
+            return entries.size() * number("fingerprint-footprint", 0);
+        }
+    }
+
+    // ---- Drain: nothing late is run, all is answered before the stop
+
+    private final class Draining extends Stage {
+        private double graceEnds = Double.POSITIVE_INFINITY;
+        private double stop = Double.POSITIVE_INFINITY;
+
+        void begin(double left) {
+            graceEnds = now + number("drain-grace", 0);
+            stop = now + left;
+            rulings.add(Ruling.health(false));
+        }
+
+        double lastAnswer() {
+            // Two periods: the timer may come a batch late, and the answer must still get out.
+            return stop - 2 * period;
+        }
+
+        @Override
+        void take(Case c) {
+            if (tooLate(c)) {
+                defer(c, number("stay-away-most", 0), false);
+                close(c);
+            } else {
+                memory.take(c);
+            }
+        }
+
+        private boolean tooLate(Case c) {
+            return c.arrived > graceEnds || now + runTimes.get(c.offering).value >= lastAnswer();
+        }
+
+        @Override
+        void tend() {
+            if (stop < Double.POSITIVE_INFINITY) {
+                for (Case c : List.copyOf(hold.held)) {
+                    if (tooLate(c)) {
+                        defer(c, number("stay-away-most", 0), false);
+                        close(c);
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- Memory: held, running and remembered together
+
+    private final class Memory extends Stage {
+        private double taken;
+
+        boolean room(double more) {
+            return taken + repeats.footprint() + more <= number("memory", Double.MAX_VALUE) * MEMORY_USED;
+        }
+
+        @Override
+        void take(Case c) {
+            double entry = c.offering.repeats() == Repeats.FINGERPRINTED ? number("fingerprint-footprint", 0) : 0;
+            if (room(entry)) {
+                level.take(c);
+            } else {
+                defer(c, hold.drainTime(), c.ticket.laterTry());
+                close(c);
+            }
+        }
+    }
+
+    // ---- The posted level: the mechanism of docs/design.md
+
+    private final class Level extends Stage {
+        private static final int BINS = 256;
+        private final double[] tally = new double[BINS];
+        private final Flow taken = new Flow(shortestLimit);
+        private final Deque<Double> below = new ArrayDeque<>();
+        private double cut;
+        private double nextUpdate = 1;
+
+        @Override
+        void take(Case c) {
+            tally[Math.min(BINS - 1, (int) (c.ticket.rank() * BINS))]++;
+            if (c.ticket.rank() < cut) {
+                defer(c, 0, c.ticket.laterTry());
+                close(c);
+            } else {
+                taken.add(1);
+                hold.take(c);
+            }
+        }
+
+        @Override
+        void tend() {
+            if (now < nextUpdate) {
+                return;
+            }
+            // A level is heard for a limited time: four steps within it, so that one that is out of date is rare.
+            double every = number("heeded", 1) / 4;
+            nextUpdate = now + every;
+            double before = cut;
+            int factor = factor();
+            if (factor > below.size()) {
+                double next = median();
+                if (next > cut) {
+                    below.push(cut);
+                    cut = next;
+                }
+            } else if (factor < below.size()) {
+                cut = below.pop();
+            }
+            double fade = Math.exp(-every / shortestLimit);
+            for (int i = 0; i < BINS; i++) {
+                tally[i] *= fade;
+            }
+            if (cut != before) {
+                post();
+            }
+        }
+
+        private int factor() {
+            double outgoing = finished.rate();
+            double target = target();
+            int waiting = hold.held.size();
+            if (outgoing <= 0 || cores.idle() || waiting <= target) {
+                return 0;
+            }
+            double capacity = taken.rate() * Math.pow(2, below.size());
+            return (int) Math.max(0, Math.round(log2(capacity / outgoing * (waiting / target))));
+        }
+
+        /** K: what is finished in half the shortest soft limit, so that waiting leaves time to run. */
+        double target() {
+            return Math.max(number("cores", 1), finished.rate() * shortestLimit / 2);
+        }
+
+        private double median() {
+            int from = (int) Math.round(cut * BINS);
+            double all = 0;
+            for (int i = from; i < BINS; i++) {
+                all += tally[i];
+            }
+            double sum = 0;
+            for (int i = from; i < BINS; i++) {
+                sum += tally[i];
+                if (sum >= all / 2) {
+                    return (i + 1.0) / BINS;
+                }
+            }
+            return cut;
+        }
+
+        private void post() {
+            String unit = word("level-unit", "none");
+            if (unit.equals("min_rank")) {
+                rulings.add(Ruling.of(What.POST, cut));
+            }
+        }
+    }
+
+    // ---- The hold: what waits for a core, and for how long that pays
+
+    private final class Hold extends Stage {
+        /** In order of arrival here; emptied by starts and endings. */
+        private final List<Case> held = new ArrayList<>();
+        private double fullSince = Double.POSITIVE_INFINITY;
+
+        @Override
+        void take(Case c) {
+            held.add(c);
+            pull();
+            if (c.place == Place.HELD && cores.busy() && c.hopeless(waitFor(c))) {
+                giveUp(c);
+            }
+        }
+
+        /** Newest first once the hold has stood full for a while: the oldest would all come too late. */
+        private boolean newestFirst() {
+            return now - fullSince > shortestLimit;
+        }
+
+        private double waitFor(Case c) {
+            double outgoing = finished.rate();
+            long ahead = held.stream().filter(h -> h != c && !after(h, c)).count();
+            return now < 1 || outgoing <= 0 ? 0 : ahead / outgoing;
+        }
+
+        /** Whether a starts after b. */
+        private boolean after(Case a, Case b) {
+            if (a.offering.payoff() != b.offering.payoff()) {
+                return a.offering.payoff() < b.offering.payoff();
+            }
+            return newestFirst() ? a.arrived < b.arrived : a.arrived > b.arrived;
+        }
+
+        void pull() {
+            while (!held.isEmpty()) {
+                Case best = held.get(0);
+                for (Case c : held) {
+                    if (after(best, c)) {
+                        best = c;
+                    }
+                }
+                if (!cores.room(best)) {
+                    return;
+                }
+                held.remove(best);
+                cores.take(best);
+            }
+        }
+
+        /** Seconds until the hold is back at its target. */
+        double drainTime() {
+            double outgoing = finished.rate();
+            return outgoing <= 0 ? shortestLimit : Math.max(0, held.size() - level.target()) / outgoing;
+        }
+
+        @Override
+        void back(Case c) {
+            if (c.place == Place.HELD) {
+                held.remove(c);
+            }
+        }
+
+        @Override
+        void tend() {
+            for (Case c : List.copyOf(held)) {
+                // One always runs, or a server that was slow for a while would never learn that it is not.
+                if (c.place == Place.HELD && cores.busy() && c.hopeless(0)) {
+                    giveUp(c);
+                }
+            }
+            boolean full = held.size() >= 2 * level.target();
+            fullSince = full ? Math.min(fullSince, now) : Double.POSITIVE_INFINITY;
+            pull();
+        }
+    }
+
+    // ---- Cores: how many run
+
+    private final class Cores extends Stage {
+        private int on;
+        private int bound = (int) number("cores", 1);
+        private double nextLook = 1;
+
+        boolean busy() {
+            return on > 0;
+        }
+
+        boolean idle() {
+            return on < number("cores", 1);
+        }
+
+        /** The crowd that kills, by the slowest warm-up the terms allow. */
+        private double ceiling() {
+            double speed = 1;
+            if (flag("cold", false)) {
+                double from = number("cold-from", 0);
+                speed = Math.min(1, from + (1 - from) * now / number("warm-after", 1));
+            }
+            return number("cores", 1) * (1 + (number("fall-multiple", 2) - 1) * speed) * CROWD_USED;
+        }
+
+        boolean room(Case c) {
+            double more = c.ticket.footprint() * (number("run-factor", 1) - 1);
+            // Tickets at a call come back to the cores by themselves, all at once if they must.
+            return on < bound && on + calls.inHand < ceiling() && memory.room(more);
+        }
+
+        @Override
+        void take(Case c) {
+            c.ran = true;
+            c.started = now;
+            move(c, Place.RUNNING);
+            on++;
+            rulings.add(Ruling.of(What.START, c.ticket));
+        }
+
+        void leave(Case c, Place to) {
+            on--;
+            move(c, to);
+            hold.pull();
+        }
+
+        void resume(Case c) {
+            on++;
+            move(c, Place.RUNNING);
+        }
+
+        @Override
+        void back(Case c) {
+            if (c.place == Place.RUNNING) {
+                on--;
+            }
+        }
+
+        @Override
+        void tend() {
+            if (now < nextLook) {
+                return;
+            }
+            // The gauge averages over half a second.
+            nextLook = now + 0.5;
+            double use = gauges.getOrDefault("core-use", 1.0);
+            if (use < 0.9 && on >= bound && !hold.held.isEmpty()) {
+                bound++;
+            } else if (use > 0.97 && bound > number("cores", 1)) {
+                bound--;
+            }
+        }
+    }
+
+    // ---- Calls to what lies below
+
+    private final class Calls extends Stage {
+        /** Wait for the pace; emptied by calls, by answers without one, and by endings. */
+        private final List<Case> parked = new ArrayList<>();
+        /** When given-up calls leave the hands of what lies below; emptied as that passes. */
+        private final Deque<Double> lingering = new ArrayDeque<>();
+        private final Mean callTime = new Mean();
+        private int inHand;
+        private double credit = 1;
+        private double creditAt;
+
+        @Override
+        void take(Case c) {
+            c.waitingSince = now;
+            parked.add(c);
+            pump();
+        }
+
+        private double most() {
+            double share = number("calls-share", 0);
+            return word("below", "none").equals("common") && share > 0 ? share : Double.POSITIVE_INFINITY;
+        }
+
+        private boolean allowed() {
+            double most = most();
+            if (most == Double.POSITIVE_INFINITY) {
+                return true;
+            }
+            double time = callTime.value > 0 ? callTime.value : shortestLimit / 10;
+            double burst = Math.max(1, most);
+            credit = Math.min(burst, credit + (now - creditAt) * most / time);
+            creditAt = now;
+            return credit >= 1 && inHand + lingering.size() < burst;
+        }
+
+        void pump() {
+            for (Case c : List.copyOf(parked)) {
+                if (c.place == Place.PARKED && !c.answered) {
+                    if (now + callTime.value > c.useful) {
+                        without(c);
+                    } else if (allowed()) {
+                        credit--;
+                        parked.remove(c);
+                        move(c, Place.CALLING);
+                        c.waitingSince = now;
+                        inHand++;
+                        rulings.add(Ruling.of(What.CALL, c.ticket, c.useful - now));
+                    } else if (now - c.waitingSince > callTime.value && c.offering.poorerShare() > 0) {
+                        without(c);
+                    }
+                }
+            }
+        }
+
+        /** A poorer answer where that earns something, else none is left to give. */
+        private void without(Case c) {
+            parked.remove(c);
+            if (c.offering.poorerShare() > 0 && now < c.useful) {
+                rulings.add(Ruling.of(What.DO_WITHOUT, c.ticket));
+                cores.resume(c);
+            } else {
+                giveUp(c);
+            }
+        }
+
+        void ended(Case c, Ending ending, double elapsed) {
+            inHand--;
+            if (ending == Ending.OK) {
+                callTime.add(elapsed);
+                cores.resume(c);
+            } else {
+                if (ending == Ending.ABANDONED) {
+                    lingering.add(now + number("call-lingers", 0));
+                    callTime.add(elapsed);
+                }
+                move(c, Place.PARKED);
+                if (c.answered) {
+                    return;
+                }
+                boolean again = ending.neverRan() || c.retriable() && ending != Ending.ABANDONED;
+                if (again && c.offering.poorerShare() == 0) {
+                    c.waitingSince = now;
+                    parked.add(c);
+                } else {
+                    without(c);
+                }
+            }
+        }
+
+        /** Its answer is given: what lies below may still be at work on the call for a while. */
+        void abandon(Case c) {
+            if (c.place == Place.CALLING) {
+                inHand--;
+                lingering.add(now + number("call-lingers", 0));
+            }
+            parked.remove(c);
+            move(c, Place.PARKED);
+        }
+
+        @Override
+        void back(Case c) {
+            if (c.place == Place.CALLING) {
+                inHand--;
+                lingering.add(now + number("call-lingers", 0));
+            }
+            parked.remove(c);
+        }
+
+        @Override
+        void tend() {
+            while (!lingering.isEmpty() && lingering.peek() <= now) {
+                lingering.poll();
+            }
+            pump();
+        }
+    }
+
+    // ---- Measuring and terms
+
+    /** A mean that follows: each new value counts a tenth. */
+    private static final class Mean {
+        private double value;
+        private boolean any;
+
+        void add(double x) {
+            value = any ? value + (x - value) / 10 : x;
+            any = true;
+        }
+    }
+
+    /** Events a second, the recent ones counting most. */
+    private final class Flow {
+        private final double span;
+        private final double since = now;
+        private double mass;
+        private double asOf = now;
+
+        Flow(double span) {
+            this.span = span;
+        }
+
+        void add(double n) {
+            fade();
+            mass += n;
+        }
+
+        double rate() {
+            fade();
+            double seen = 1 - Math.exp(-(now - since) / span);
+            return seen <= 0 ? 0 : mass / (span * seen);
+        }
+
+        private void fade() {
+            mass *= Math.exp(-(now - asOf) / span);
+            asOf = now;
+        }
+    }
+
+    private static double log2(double x) {
+        return Math.log(x) / Math.log(2);
+    }
+
+    @SuppressWarnings("unchecked")
+    private List<Offering> offerings() {
+        return (List<Offering>) terms.get("offerings");
+    }
+
+    private double number(String name, double other) {
+        return terms.get(name) instanceof Double d ? d : other;
+    }
+
+    private boolean flag(String name, boolean other) {
+        return terms.get(name) instanceof Boolean b ? b : other;
+    }
+
+    private String word(String name, String other) {
+        return terms.get(name) instanceof String s ? s : other;
+    }
+}
--- /dev/null
+++ b/src/test/java/topazladder/BrainTest.java
@@ -0,0 +1,75 @@
+package topazladder;
+
+import static topazladder.Desk.ISSUE;
+import static topazladder.Desk.PLACE;
+import static topazladder.Desk.READ;
+
+import org.junit.jupiter.api.Test;
+import topazladder.ticket.Ending;
+
+/** Each test plays a short scene and compares what was decided with a trace kept for readers. */
+class BrainTest {
+
+    @Test
+    void heldTicketIsAnsweredOnceItCanNoLongerPay() {
+        new Desk().open().arrive("a", READ).arrive("b", READ)
+                .until(3).runEnds("a", Ending.OK).until(6).matches("answers");
+    }
+
+    @Test
+    void runningTicketIsAnsweredAtItsDueTimeAlthoughItRunsOn() {
+        new Desk().open().arrive("a", PLACE).until(6).runEnds("a", Ending.STOPPED).arrive("b", READ)
+                .matches("running-past-due");
+    }
+
+    @Test
+    void dueTimeCountsFromArrivalAtTheMachine() {
+        new Desk().open().arrive("a", PLACE, 0.5, 4, null).until(2).matches("due-from-arrival");
+    }
+
+    @Test
+    void heldCopiesOfAFingerprintRunOnce() {
+        new Desk().open().arrive("x", PLACE).arrive("a", PLACE).arrive("a2", PLACE, 0.3, 0, "a")
+                .at(0.4).runEnds("x", Ending.OK).at(0.8).runEnds("a", Ending.OK).at(0.9).runEnds("a2", Ending.OK)
+                .at(2).arrive("a3", PLACE, 0.3, 0, "a").matches("repeats");
+    }
+
+    @Test
+    void repeatOfATicketThatNeverRanTakesItsPlace() {
+        new Desk().open().arrive("x", READ).arrive("a", PLACE).arrive("a2", PLACE, 0.3, 0, "a")
+                .callerGone("a").at(0.4).runEnds("x", Ending.OK).matches("heir");
+    }
+
+    @Test
+    void callWithAnEffectIsMadeAgainOnlyIfTheLastNeverRan() {
+        new Desk().open().arrive("a", ISSUE).at(0.2).wantsCall("a").callEnds("a", Ending.DEFERRED)
+                .until(0.6).callEnds("a", Ending.ABANDONED).runEnds("a", Ending.STOPPED)
+                .arrive("b", READ).wantsCall("b").callEnds("b", Ending.FAILED).matches("calls");
+    }
+
+    @Test
+    void memoryHoldsHeldRunningAndRemembered() {
+        Desk desk = new Desk().with("memory", 400.0).open();
+        for (int i = 0; i < 8; i++) {
+            desk.arrive("p" + i, PLACE);
+        }
+        desk.matches("memory");
+    }
+
+    @Test
+    void drainRunsNothingPastTheGraceAndAnswersAllBeforeTheStop() {
+        new Desk().open().arrive("a", PLACE).arrive("b", PLACE).leave(4).until(1.5)
+                .arrive("early", PLACE, 0.3, 0.6, null).arrive("late", PLACE, 0.3, 0.1, null)
+                .until(4).matches("drain");
+    }
+
+    @Test
+    void coldServerKeepsItsCrowdBelowWhatItSurvives() {
+        Desk desk = new Desk().with("memory", 10000.0).with("cold", true).with("cold-from", 0.2)
+                .with("warm-after", 16.0).open();
+        for (int i = 0; i < 4; i++) {
+            desk.arrive("r" + i, READ).wantsCall("r" + i);
+        }
+        desk.matches("cold-crowd");
+    }
+}
