Pace calls below by half the share and their recent time

Change: call-seconds are spent at a pace of half the share, less as calls take longer than twice their quickest; a call turned away waits longer with each try. It hurts where the share is cut far smaller than what is needed.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -188,6 +188,8 @@
         boolean answered;
         double started;
         double waitingSince;
+        double callAgainAt;
+        int tries;
         /** The repeats that wait for its end; emptied there. */
         final List<Case> followers = new ArrayList<>(0);
         Entry entry;
@@ -698,9 +700,12 @@
         /** When given-up calls leave the hands of what lies below; emptied as that passes. */
         private final Deque<Double> lingering = new ArrayDeque<>();
         private final Mean callTime = new Mean();
+        /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
+        private double quickest = Double.POSITIVE_INFINITY;
         private int inHand;
-        private double credit = 1;
-        private double creditAt;
+        /** Call-seconds spent beyond the pace. */
+        private double spent;
+        private double spentAt;
 
         @Override
         void take(Case c) {
@@ -709,30 +714,35 @@
             pump();
         }
 
-        private double most() {
+        /**
+         * How many calls this server may have in hand on average. The share is what kills, not what serves best:
+         * half of it at most, and less the longer calls take, as they do when the others crowd it too.
+         */
+        private double pace() {
             double share = number("calls-share", 0);
-            return word("below", "none").equals("common") && share > 0 ? share : Double.POSITIVE_INFINITY;
+            if (!word("below", "none").equals("common") || share <= 0) {
+                return Double.POSITIVE_INFINITY;
+            }
+            return share / 2 * Math.min(1, callTime.value > 0 ? 2 * quickest / callTime.value : 1);
         }
 
         private boolean allowed() {
-            double most = most();
-            if (most == Double.POSITIVE_INFINITY) {
+            double pace = pace();
+            if (pace == Double.POSITIVE_INFINITY) {
                 return true;
             }
-            double time = callTime.value > 0 ? callTime.value : shortestLimit / 10;
-            double burst = Math.max(1, most);
-            credit = Math.min(burst, credit + (now - creditAt) * most / time);
-            creditAt = now;
-            return credit >= 1 && inHand + lingering.size() < burst;
+            spent = Math.max(0, spent + (inHand + lingering.size() - pace) * (now - spentAt));
+            spentAt = now;
+            double burst = pace * number("calls-span", 5) / 2;
+            return spent + callTime.value <= burst && inHand + lingering.size() < Math.max(1, 4 * pace);
         }
 
         void pump() {
             for (Case c : List.copyOf(parked)) {
-                if (c.place == Place.PARKED && !c.answered) {
+                if (c.place == Place.PARKED && !c.answered && now >= c.callAgainAt) {
                     if (now + callTime.value > c.useful) {
                         without(c);
                     } else if (allowed()) {
-                        credit--;
                         parked.remove(c);
                         move(c, Place.CALLING);
                         c.waitingSince = now;
@@ -760,6 +770,7 @@
             inHand--;
             if (ending == Ending.OK) {
                 callTime.add(elapsed);
+                quickest = Math.min(elapsed, quickest + elapsed / 200);
                 cores.resume(c);
             } else {
                 if (ending == Ending.ABANDONED) {
@@ -772,6 +783,8 @@
                 }
                 boolean again = ending.neverRan() || c.retriable() && ending != Ending.ABANDONED;
                 if (again && c.offering.poorerShare() == 0) {
+                    // Turned away at once and asked at once again, a few tickets would read the tier below to death.
+                    c.callAgainAt = now + Math.max(period, callTime.value) * (0.5 + chance.nextDouble()) * ++c.tries;
                     c.waitingSince = now;
                     parked.add(c);
                 } else {
