Give fingerprints three quarters of the memory; let needed calls go first

Change: budget 0.5 -> 0.75 of memory; pace against the smoothed quickest time, at 0.6 of the share; a call that can be left out stops at half the burst.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -27,11 +27,14 @@
 public final class Brain {
     /** Rulings take effect one batch late and footprints are floats: never plan for the last of the memory. */
     private static final double MEMORY_USED = 0.9;
-    /** Fingerprints may not starve the tickets in hand, whatever their window. */
-    private static final double MEMORY_REMEMBERED = 0.5;
+    /** Fingerprints may not starve the tickets in hand, whatever their window; but those need little at a time. */
+    private static final double MEMORY_REMEMBERED = 0.75;
     /** The crowd is averaged by others over their own span, so stay clear of what kills. */
     private static final double CROWD_USED = 0.75;
 
+    /** Of the share of what lies below: the rest is for calls already made that take longer than expected. */
+    private static final double CALLS_USED = 0.6;
+
     private final RandomGenerator chance;
     private final Map<String, Object> terms;
     private final List<Ruling> rulings = new ArrayList<>();
@@ -716,24 +719,25 @@
 
         /**
          * How many calls this server may have in hand on average. The share is what kills, not what serves best:
-         * half of it at most, and less the longer calls take, as they do when the others crowd it too.
+         * most of it at most, and less the longer calls take, as they do when the others crowd it too.
          */
         private double pace() {
             double share = number("calls-share", 0);
             if (!word("below", "none").equals("common") || share <= 0) {
                 return Double.POSITIVE_INFINITY;
             }
-            return share / 2 * Math.min(1, callTime.value > 0 ? 2 * quickest / callTime.value : 1);
+            return share * CALLS_USED * Math.min(1, callTime.value > 0 ? 3 * quickest / callTime.value : 1);
         }
 
-        private boolean allowed() {
+        /** Calls that can be left out stop at half the burst, so that those that can't find room. */
+        private boolean allowed(Case c) {
             double pace = pace();
             if (pace == Double.POSITIVE_INFINITY) {
                 return true;
             }
             spent = Math.max(0, spent + (inHand + lingering.size() - pace) * (now - spentAt));
             spentAt = now;
-            double burst = pace * number("calls-span", 5) / 2;
+            double burst = pace * number("calls-span", 5) / (c.offering.poorerShare() > 0 ? 8 : 4);
             return spent + callTime.value <= burst && inHand + lingering.size() < Math.max(1, 4 * pace);
         }
 
@@ -742,7 +746,7 @@
                 if (c.place == Place.PARKED && !c.answered && now >= c.callAgainAt) {
                     if (now + callTime.value > c.useful) {
                         without(c);
-                    } else if (allowed()) {
+                    } else if (allowed(c)) {
                         parked.remove(c);
                         move(c, Place.CALLING);
                         c.waitingSince = now;
@@ -770,7 +774,7 @@
             inHand--;
             if (ending == Ending.OK) {
                 callTime.add(elapsed);
-                quickest = Math.min(elapsed, quickest + elapsed / 200);
+                quickest = Math.min(callTime.value, quickest * 1.002);
                 cores.resume(c);
             } else {
                 if (ending == Ending.ABANDONED) {
