Let the pace of calls fall while they take over three times the quickest

Change: the pace falls by a twentieth with each call that shows crowding (smoothed time over thrice the smoothed quickest, or a call that failed) and rises by less with each that does not. Holds against any slow or crowded thing below; it hurts where call times scatter widely by nature.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -706,6 +706,8 @@
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
         private int inHand;
+        /** How many calls this server means to have in hand on average. */
+        private double pace = most();
         /** Call-seconds spent beyond the pace. */
         private double spent;
         private double spentAt;
@@ -717,21 +719,18 @@
             pump();
         }
 
-        /**
-         * How many calls this server may have in hand on average. The share is what kills, not what serves best:
-         * most of it at most, and less the longer calls take, as they do when the others crowd it too.
-         */
-        private double pace() {
+        private double most() {
             double share = number("calls-share", 0);
-            if (!word("below", "none").equals("common") || share <= 0) {
-                return Double.POSITIVE_INFINITY;
-            }
-            return share * CALLS_USED * Math.min(1, callTime.value > 0 ? 3 * quickest / callTime.value : 1);
+            return word("below", "none").equals("common") && share > 0 ? share * CALLS_USED : Double.POSITIVE_INFINITY;
+        }
+
+        /** The share is what kills; what serves best is found by whether calls take longer than they need to. */
+        private void follow(boolean crowded) {
+            pace = Math.max(most() / 16, Math.min(most(), pace * (crowded ? 0.95 : 1.03)));
         }
 
         /** Calls that can be left out stop at half the burst, so that those that can't find room. */
         private boolean allowed(Case c) {
-            double pace = pace();
             if (pace == Double.POSITIVE_INFINITY) {
                 return true;
             }
@@ -774,9 +773,11 @@
             inHand--;
             if (ending == Ending.OK) {
                 callTime.add(elapsed);
-                quickest = Math.min(callTime.value, quickest * 1.002);
+                quickest = Math.min(callTime.value, quickest * 1.0005);
+                follow(callTime.value > 3 * quickest);
                 cores.resume(c);
             } else {
+                follow(true);
                 if (ending == Ending.ABANDONED) {
                     lingering.add(now + number("call-lingers", 0));
                     callTime.add(elapsed);
