--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -774,7 +774,7 @@
             if (ending == Ending.OK) {
                 callTime.add(elapsed);
                 quickest = Math.min(callTime.value, quickest * 1.0005);
-                follow(callTime.value > 3 * quickest);
+                follow(callTime.value > 4 * quickest);
                 cores.resume(c);
             } else {
                 follow(true);
