Leave free of fingerprints only what fills the cores

Change: fingerprints may take all memory but what the tickets in hand need, at least what fills the cores once, with the footprints seen; was a fixed three quarters.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -26,9 +26,7 @@
  */
 public final class Brain {
     /** Rulings take effect one batch late and footprints are floats: never plan for the last of the memory. */
-    private static final double MEMORY_USED = 0.9;
-    /** Fingerprints may not starve the tickets in hand, whatever their window; but those need little at a time. */
-    private static final double MEMORY_REMEMBERED = 0.75;
+    private static final double MEMORY_USED = 0.95;
     /** The crowd is averaged by others over their own span, so stay clear of what kills. */
     private static final double CROWD_USED = 0.75;
 
@@ -321,9 +319,10 @@
         }
 
         private void takeNew(Case c) {
-            double all = (entries.size() + 1) * number("fingerprint-footprint", 0);
-            // Run unremembered it could run twice; a window too long for the memory costs some tickets instead.
-            if (all > number("memory", Double.MAX_VALUE) * MEMORY_REMEMBERED) {
+            // Run unremembered it could run twice; a window too long for the memory costs some tickets instead. But
+            // fingerprints may not starve what else is to run: what fills the cores is kept free of them.
+            double all = footprint() + number("fingerprint-footprint", 0) + memory.working();
+            if (all > number("memory", Double.MAX_VALUE) * MEMORY_USED) {
                 defer(c, entries.isEmpty() ? 0 : entries.peek().until() - now, false);
                 close(c);
                 return;
@@ -435,14 +434,21 @@
     // ---- Memory: held, running and remembered together
 
     private final class Memory extends Stage {
+        private final Mean footprints = new Mean();
         private double taken;
 
+        /** What the tickets in hand need, or would with the cores well filled. */
+        double working() {
+            return Math.max(taken, number("cores", 1) * footprints.value * number("run-factor", 1));
+        }
+
         boolean room(double more) {
             return taken + repeats.footprint() + more <= number("memory", Double.MAX_VALUE) * MEMORY_USED;
         }
 
         @Override
         void take(Case c) {
+            footprints.add(c.ticket.footprint());
             double entry = c.offering.repeats() == Repeats.FINGERPRINTED ? number("fingerprint-footprint", 0) : 0;
             if (room(entry)) {
                 level.take(c);
