Defer at reading what lay unread until it can't pay

Told from slow runs by the long waits on arrival. Change: a ticket past its useful time is never started, and a hopeless one only where nothing runs. Holds against any stall of reading. It can hurt where run times are overestimated: then tickets are deferred that would have come in time.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -559,9 +559,12 @@
         @Override
         void take(Case c) {
             held.add(c);
-            pull();
-            if (c.place == Place.HELD && cores.busy() && c.hopeless(waitFor(c))) {
+            // One always runs, or a server that was slow for a while would never learn that it is not; but never one
+            // that lay unread until nothing more can be earned: started, it would only be stopped again.
+            if (now >= c.useful || cores.busy() && c.hopeless(cores.room(c) ? 0 : waitFor(c))) {
                 giveUp(c);
+            } else {
+                pull();
             }
         }
 
@@ -616,7 +619,6 @@
         @Override
         void tend() {
             for (Case c : List.copyOf(held)) {
-                // One always runs, or a server that was slow for a while would never learn that it is not.
                 if (c.place == Place.HELD && cores.busy() && c.hopeless(0)) {
                     giveUp(c);
                 }
