--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -465,8 +465,6 @@
         private static final int BINS = 256;
         private final double[] tally = new double[BINS];
         private final Flow taken = new Flow(shortestLimit);
-        private final Flow read = new Flow(shortestLimit);
-        private final Mean waits = new Mean();
         private final Deque<Double> below = new ArrayDeque<>();
         private double cut;
         private double nextUpdate = 1;
@@ -474,8 +472,6 @@
         @Override
         void take(Case c) {
             tally[Math.min(BINS - 1, (int) (c.ticket.rank() * BINS))]++;
-            read.add(1);
-            waits.add(c.ticket.waited());
             if (c.ticket.rank() < cut) {
                 defer(c, 0, c.ticket.laterTry());
                 close(c);
@@ -516,7 +512,7 @@
         private int factor() {
             double outgoing = finished.rate();
             double target = target();
-            double waiting = hold.held.size() + unread();
+            int waiting = hold.held.size();
             if (outgoing <= 0 || cores.idle() || waiting <= target) {
                 return 0;
             }
@@ -524,14 +520,6 @@
             return (int) Math.max(0, Math.round(log2(capacity / outgoing * (waiting / target))));
         }
 
-        /**
-         * Where reading itself is the bottleneck the queue stands before it, unseen: by their waits on arrival, that
-         * many lie unread. Acts when arrivals come late, after stalls too, and is nothing otherwise.
-         */
-        private double unread() {
-            return read.rate() * waits.value;
-        }
-
         /** K: what is finished in half the shortest soft limit, so that waiting leaves time to run. */
         double target() {
             return Math.max(number("cores", 1), finished.rate() * shortestLimit / 2);
@@ -653,7 +641,7 @@
         }
 
         boolean idle() {
-            return on < number("cores", 1) && gauges.getOrDefault("core-use", 0.0) < 0.9;
+            return on < number("cores", 1);
         }
 
         /** The crowd that kills, by the slowest warm-up the terms allow. */
