Say not elsewhere as often as arrivals have been turned away before

Change: a deferred ticket is not to be tried elsewhere with a chance of twice the share of later tries among arrivals. Holds against any storm of retries; it hurts where later tries come from another cause, as a link that fails, and other servers have room.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -54,6 +54,7 @@
     private final double shortestLimit;
     private double now;
     private final Flow finished;
+    private final Mean laterTries = new Mean();
     private Map<String, Double> gauges = Map.of();
 
     public Brain(RandomGenerator chance, Map<String, Object> terms) {
@@ -89,6 +90,7 @@
     public List<Ruling> arrive(double time, Ticket ticket) {
         at(time);
         Case c = new Case(ticket, now);
+        laterTries.add(ticket.laterTry() ? 1 : 0);
         open.put(ticket, c);
         memory.taken += c.footprint();
         repeats.take(c);
@@ -251,6 +253,14 @@
         memory.taken += c.footprint();
     }
 
+    /**
+     * Whether another server would hardly take it either: as far as those that come have been turned away before.
+     * Each further try costs a reading somewhere, so where all are full, walking on makes it worse for all.
+     */
+    private boolean fullElsewhere(Case c) {
+        return c.ticket.laterTry() || chance.nextDouble() < 2 * laterTries.value;
+    }
+
     private void defer(Case c, double stayAway, boolean notElsewhere) {
         double most = flag("stay-away", false) ? number("stay-away-most", 0) : 0;
         rulings.add(Ruling.defer(c.ticket, Math.min(stayAway, most), notElsewhere));
@@ -260,7 +270,7 @@
     /** The final answer, at once; what still runs is stopped where that can be done. */
     private void giveUp(Case c) {
         if (!c.ran || c.retriable()) {
-            defer(c, hold.drainTime(), c.ticket.laterTry());
+            defer(c, hold.drainTime(), fullElsewhere(c));
         } else {
             rulings.add(Ruling.of(What.BREAK_OFF, c.ticket));
             c.answered = true;
@@ -453,7 +463,7 @@
             if (room(entry)) {
                 level.take(c);
             } else {
-                defer(c, hold.drainTime(), c.ticket.laterTry());
+                defer(c, hold.drainTime(), fullElsewhere(c));
                 close(c);
             }
         }
@@ -473,7 +483,7 @@
         void take(Case c) {
             tally[Math.min(BINS - 1, (int) (c.ticket.rank() * BINS))]++;
             if (c.ticket.rank() < cut) {
-                defer(c, 0, c.ticket.laterTry());
+                defer(c, 0, fullElsewhere(c));
                 close(c);
             } else {
                 taken.add(1);
