--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -571,7 +571,7 @@
             held.add(c);
             // One always runs, or a server that was slow for a while would never learn that it is not; but never one
             // that lay unread until nothing more can be earned: started, it would only be stopped again.
-            if (now >= c.useful || !cores.room(c) && c.hopeless(waitFor(c))) {
+            if (now >= c.useful || cores.busy() && c.hopeless(cores.room(c) ? 0 : waitFor(c))) {
                 giveUp(c);
             } else {
                 pull();
