Raise the run bound only when pressed for the gauge's whole span

Change: it rises only if the bound was reached and tickets waited at every look since the last step, and falls else.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -644,6 +644,7 @@
     private final class Cores extends Stage {
         private int on;
         private int bound = (int) number("cores", 1);
+        private boolean pressed;
         private double nextLook = 1;
 
         boolean busy() {
@@ -699,17 +700,19 @@
 
         @Override
         void tend() {
+            pressed &= on >= bound && !hold.held.isEmpty();
             if (now < nextLook) {
                 return;
             }
-            // The gauge averages over half a second.
-            nextLook = now + 0.5;
-            double use = gauges.getOrDefault("core-use", 1.0);
-            if (use < 0.9 && on >= bound && !hold.held.isEmpty()) {
+            // The gauge averages over half a second: only what waited all that time tells that the bound left cores
+            // idle, as where runs wait for a disk. A queue of a moment does not, and would let the bound creep up.
+            if (pressed && gauges.getOrDefault("core-use", 1.0) < 0.9) {
                 bound++;
-            } else if (use > 0.97 && bound > number("cores", 1)) {
+            } else if (bound > number("cores", 1)) {
                 bound--;
             }
+            pressed = true;
+            nextLook = now + 0.5;
         }
     }
 
