--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -724,6 +724,8 @@
         /** When given-up calls leave the hands of what lies below; emptied as that passes. */
         private final Deque<Double> lingering = new ArrayDeque<>();
         private final Mean callTime = new Mean();
+        /** Steadier: the least of a mean of few calls would be luck, and all after it look crowded. */
+        private final Mean longTime = new Mean(40);
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
         private int inHand;
@@ -794,8 +796,11 @@
             inHand--;
             if (ending == Ending.OK) {
                 callTime.add(elapsed);
-                quickest = Math.min(callTime.value, quickest * 1.0005);
-                follow(callTime.value > 4 * quickest);
+                longTime.add(elapsed);
+                if (longTime.seen == longTime.most) {
+                    quickest = Math.min(longTime.value, quickest * 1.0005);
+                }
+                follow(callTime.value > 3 * quickest);
                 cores.resume(c);
             } else {
                 follow(true);
@@ -849,14 +854,23 @@
 
     // ---- Measuring and terms
 
-    /** A mean that follows: each new value counts a tenth. */
+    /** A mean that follows: each new value counts one in so many, after as many were seen. */
     private static final class Mean {
+        private final int most;
         private double value;
-        private boolean any;
+        private int seen;
+
+        Mean() {
+            this(10);
+        }
+
+        Mean(int most) {
+            this.most = most;
+        }
 
         void add(double x) {
-            value = any ? value + (x - value) / 10 : x;
-            any = true;
+            seen = Math.min(most, seen + 1);
+            value += (x - value) / seen;
         }
     }
 
