--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import topazladder.ticket.Ending;
 import topazladder.ticket.Offering;
@@ -60,12 +62,8 @@
     public Brain(RandomGenerator chance, Map<String, Object> terms) {
         this.chance = chance;
         this.terms = terms;
-        double shortest = Double.POSITIVE_INFINITY;
-        for (Offering o : offerings()) {
-            shortest = Math.min(shortest, o.softLimit());
-            runTimes.put(o, new Mean());
-        }
-        shortestLimit = shortest;
+        offerings().forEach(o -> runTimes.put(o, new Mean()));
+        shortestLimit = offerings().stream().mapToDouble(Offering::softLimit).min().orElse(1);
         // A quarter of the slack leaves room for a late batch and costs few timers.
         period = Math.max(number("tick", 0.001), Math.max(0.01, number("answer-slack", 0) / 4));
         finished = new Flow(shortestLimit);
@@ -80,92 +78,76 @@
     }
 
     public List<Ruling> start(double time) {
-        at(time);
-        // A check answered from store costs next to nothing; a real one would load cores and what lies below.
-        rulings.add(Ruling.health(true));
-        rulings.add(Ruling.of(What.WAKE, period));
-        return ruled();
+        return at(time, () -> {
+            // A check answered from store costs next to nothing; a real one would load cores and what lies below.
+            rulings.add(Ruling.health(true));
+            rulings.add(Ruling.of(What.WAKE, period));
+        });
     }
 
     public List<Ruling> arrive(double time, Ticket ticket) {
-        at(time);
-        Case c = new Case(ticket, now);
-        laterTries.add(ticket.laterTry() ? 1 : 0);
-        open.put(ticket, c);
-        memory.taken += c.footprint();
-        repeats.take(c);
-        return ruled();
+        return at(time, () -> {
+            Case c = new Case(ticket);
+            laterTries.add(ticket.laterTry() ? 1 : 0);
+            open.put(ticket, c);
+            memory.taken += c.footprint();
+            repeats.take(c);
+        });
     }
 
     public List<Ruling> callWanted(double time, Ticket ticket) {
-        at(time);
-        Case c = open.get(ticket);
-        if (c != null && c.place == Place.RUNNING) {
-            cores.leave(c, Place.PARKED);
+        return at(time, ticket, Place.RUNNING, c -> {
+            cores.leave(c);
             if (c.answered) {
                 rulings.add(Ruling.of(What.BREAK_OFF, ticket));
             } else {
                 calls.take(c);
             }
-        }
-        return ruled();
+        });
     }
 
     public List<Ruling> callEnded(double time, Ticket ticket, Ending ending, double elapsed) {
-        at(time);
-        Case c = open.get(ticket);
-        if (c != null && c.place == Place.CALLING) {
-            calls.ended(c, ending, elapsed);
-        }
-        return ruled();
+        return at(time, ticket, Place.CALLING, c -> calls.ended(c, ending, elapsed));
     }
 
     public List<Ruling> runEnded(double time, Ticket ticket, Ending ending, double elapsed) {
-        at(time);
-        Case c = open.get(ticket);
-        if (c != null) {
+        return at(time, ticket, null, c -> {
             if (ending == Ending.OK && !c.answered && c.place == Place.RUNNING) {
                 finished.add(1);
                 runTimes.get(c.offering).add(elapsed);
             }
             // Any other ending leaves no answer only where a run was stopped, which is never done before it.
             close(c);
-        }
-        return ruled();
+        });
     }
 
     public List<Ruling> callerGone(double time, Ticket ticket) {
-        at(time);
-        Case c = open.get(ticket);
-        if (c != null && !c.answered) {
+        return at(time, ticket, null, c -> {
             c.answered = true;
             if (c.place == Place.RUNNING) {
                 stop(c);
             } else if (c.place != Place.CALLING && c.place != Place.PARKED) {
                 close(c);
             }
-        }
-        return ruled();
+        });
     }
 
     public List<Ruling> timer(double time, Map<String, Double> readings) {
-        at(time);
-        gauges = readings;
-        for (Case c : List.copyOf(open.values())) {
-            if (!c.answered && c.place != Place.OVER && now + period >= Math.min(c.due, drain.lastAnswer())) {
-                giveUp(c);
+        return at(time, () -> {
+            gauges = readings;
+            for (Case c : List.copyOf(open.values())) {
+                if (!c.answered && c.place != Place.OVER && now + period >= Math.min(c.due, drain.lastAnswer())) {
+                    giveUp(c);
+                }
             }
-        }
-        stages.forEach(Stage::tend);
-        rulings.add(Ruling.of(What.WAKE, period));
-        return ruled();
+            stages.forEach(Stage::tend);
+            rulings.add(Ruling.of(What.WAKE, period));
+        });
     }
 
     /** @param left seconds until the process is stopped */
     public List<Ruling> leave(double time, double left) {
-        at(time);
-        drain.begin(left);
-        return ruled();
+        return at(time, () -> drain.begin(left));
     }
 
     /** Whether the ticket can still be named in a ruling. */
@@ -193,11 +175,12 @@
         double waitingSince;
         double callAgainAt;
         int tries;
-        /** The repeats that wait for its end; emptied there. */
+        /** The repeats that wait for its end, and go with it. */
         final List<Case> followers = new ArrayList<>(0);
-        Entry entry;
+        /** When its fingerprint is forgotten; 0 if it is not remembered. */
+        double rememberedUntil;
 
-        Case(Ticket ticket, double now) {
+        Case(Ticket ticket) {
             this.ticket = ticket;
             offering = ticket.offering();
             arrived = now - ticket.waited();
@@ -210,19 +193,12 @@
             return place == Place.OVER ? 0 : ticket.footprint() * (small ? 1 : number("run-factor", 1));
         }
 
-        boolean retriable() {
-            return offering.repeats() == Repeats.RETRIABLE;
-        }
-
         /** Whether nothing more can be earned with it if it starts in so many seconds. */
         boolean hopeless(double wait) {
             return now + wait + runTimes.get(offering).value > useful;
         }
     }
 
-    private record Entry(double until) {
-    }
-
     /** A stage keeps a ticket, ends it or passes it on; back tells each, last first, that it has ended. */
     private abstract class Stage {
         abstract void take(Case c);
@@ -234,19 +210,27 @@
         }
     }
 
-    private void at(double time) {
+    private List<Ruling> at(double time, Runnable happening) {
         if (time > now) {
             unrunNow.clear();
         }
         now = time;
-    }
-
-    private List<Ruling> ruled() {
+        happening.run();
         List<Ruling> result = List.copyOf(rulings);
         rulings.clear();
         return result;
     }
 
+    /** What comes too late, or for a ticket that is over, changes nothing. */
+    private List<Ruling> at(double time, Ticket ticket, Place place, Consumer<Case> happening) {
+        Case c = open.get(ticket);
+        return at(time, () -> {
+            if (c != null && (place == null || c.place == place)) {
+                happening.accept(c);
+            }
+        });
+    }
+
     private void move(Case c, Place place) {
         memory.taken -= c.footprint();
         c.place = place;
@@ -267,9 +251,14 @@
         c.answered = true;
     }
 
+    private void turnAway(Case c, double stayAway, boolean notElsewhere) {
+        defer(c, stayAway, notElsewhere);
+        close(c);
+    }
+
     /** The final answer, at once; what still runs is stopped where that can be done. */
     private void giveUp(Case c) {
-        if (!c.ran || c.retriable()) {
+        if (!c.ran || c.offering.repeats() == Repeats.RETRIABLE) {
             defer(c, hold.drainTime(), fullElsewhere(c));
         } else {
             rulings.add(Ruling.of(What.BREAK_OFF, c.ticket));
@@ -309,7 +298,8 @@
 
     private final class Repeating extends Stage {
         /** Emptied as windows end, and by tickets that end without having run. */
-        private final PriorityQueue<Entry> entries = new PriorityQueue<>(Comparator.comparing(Entry::until));
+        private final PriorityQueue<Case> entries =
+                new PriorityQueue<>(Comparator.comparingDouble((Case c) -> c.rememberedUntil));
 
         @Override
         void take(Case c) {
@@ -320,7 +310,9 @@
             Ticket first = c.ticket.forerunner();
             Case forerunner = first == null ? null : open.get(first);
             if (forerunner != null && !forerunner.ran) {
-                follow(c, forerunner);
+                // Two held copies must not both run: the later waits for what becomes of the first.
+                move(c, Place.FOLLOWING);
+                forerunner.followers.add(c);
             } else if (c.ticket.repeat() && !unrunNow.contains(first)) {
                 join(c);
             } else {
@@ -333,25 +325,18 @@
             // fingerprints may not starve what else is to run: what fills the cores is kept free of them.
             double all = footprint() + number("fingerprint-footprint", 0) + memory.working();
             if (all > number("memory", Double.MAX_VALUE) * MEMORY_USED) {
-                defer(c, entries.isEmpty() ? 0 : entries.peek().until() - now, false);
-                close(c);
+                turnAway(c, entries.isEmpty() ? 0 : entries.peek().rememberedUntil - now, false);
                 return;
             }
             drain.take(c);
             double until = c.arrived + c.offering.window();
             if (c.place != Place.OVER && until > now) {
                 rulings.add(Ruling.of(What.REMEMBER, c.ticket, until - now));
-                c.entry = new Entry(until);
-                entries.add(c.entry);
+                c.rememberedUntil = until;
+                entries.add(c);
             }
         }
 
-        /** Two held copies must not both run: the later waits for what becomes of the first. */
-        private void follow(Case c, Case forerunner) {
-            move(c, Place.FOLLOWING);
-            forerunner.followers.add(c);
-        }
-
         private void join(Case c) {
             move(c, Place.JOINED);
             rulings.add(Ruling.of(What.JOIN, c.ticket));
@@ -359,27 +344,18 @@
 
         @Override
         void back(Case c) {
-            if (c.entry != null && !c.ran) {
+            if (!c.ran && entries.remove(c)) {
                 rulings.add(Ruling.of(What.FORGET, c.ticket));
-                entries.remove(c.entry);
             }
         }
 
         void release(Case c) {
-            Case heir = null;
-            for (Case f : c.followers) {
-                if (f.place == Place.FOLLOWING) {
-                    if (c.ran) {
-                        join(f);
-                    } else if (heir == null) {
-                        heir = f;
-                    } else {
-                        follow(f, heir);
-                    }
-                }
-            }
-            c.followers.clear();
-            if (heir != null) {
+            List<Case> waiting = c.followers.stream().filter(f -> f.place == Place.FOLLOWING).toList();
+            if (c.ran) {
+                waiting.forEach(this::join);
+            } else if (!waiting.isEmpty()) {
+                Case heir = waiting.get(0);
+                heir.followers.addAll(waiting.subList(1, waiting.size()));
                 move(heir, Place.HELD);
                 takeNew(heir);
             }
@@ -387,7 +363,7 @@
 
         @Override
         void tend() {
-            while (!entries.isEmpty() && entries.peek().until() <= now) {
+            while (!entries.isEmpty() && entries.peek().rememberedUntil <= now) {
                 entries.poll();
             }
         }
@@ -417,8 +393,7 @@
         @Override
         void take(Case c) {
             if (tooLate(c)) {
-                defer(c, number("stay-away-most", 0), false);
-                close(c);
+                turnAway(c, number("stay-away-most", 0), false);
             } else {
                 memory.take(c);
             }
@@ -431,10 +406,9 @@
         @Override
         void tend() {
             if (stop < Double.POSITIVE_INFINITY) {
-                for (Case c : List.copyOf(hold.held)) {
-                    if (tooLate(c)) {
-                        defer(c, number("stay-away-most", 0), false);
-                        close(c);
+                for (Case c : hold.held.stream().filter(this::tooLate).toList()) {
+                    if (c.place == Place.HELD) {
+                        turnAway(c, number("stay-away-most", 0), false);
                     }
                 }
             }
@@ -463,8 +437,7 @@
             if (room(entry)) {
                 level.take(c);
             } else {
-                defer(c, hold.drainTime(), fullElsewhere(c));
-                close(c);
+                turnAway(c, hold.drainTime(), fullElsewhere(c));
             }
         }
     }
@@ -483,8 +456,7 @@
         void take(Case c) {
             tally[Math.min(BINS - 1, (int) (c.ticket.rank() * BINS))]++;
             if (c.ticket.rank() < cut) {
-                defer(c, 0, fullElsewhere(c));
-                close(c);
+                turnAway(c, 0, fullElsewhere(c));
             } else {
                 taken.add(1);
                 hold.take(c);
@@ -511,11 +483,9 @@
                 cut = below.pop();
             }
             double fade = Math.exp(-every / shortestLimit);
-            for (int i = 0; i < BINS; i++) {
-                tally[i] *= fade;
-            }
-            if (cut != before) {
-                post();
+            Arrays.setAll(tally, i -> tally[i] * fade);
+            if (cut != before && word("level-unit", "none").equals("min_rank")) {
+                rulings.add(Ruling.of(What.POST, cut));
             }
         }
 
@@ -523,11 +493,11 @@
             double outgoing = finished.rate();
             double target = target();
             int waiting = hold.held.size();
-            if (outgoing <= 0 || cores.idle() || waiting <= target) {
+            if (outgoing <= 0 || cores.on < number("cores", 1) || waiting <= target) {
                 return 0;
             }
             double capacity = taken.rate() * Math.pow(2, below.size());
-            return (int) Math.max(0, Math.round(log2(capacity / outgoing * (waiting / target))));
+            return (int) Math.max(0, Math.round(Math.log(capacity / outgoing * (waiting / target)) / Math.log(2)));
         }
 
         /** K: what is finished in half the shortest soft limit, so that waiting leaves time to run. */
@@ -537,25 +507,12 @@
 
         private double median() {
             int from = (int) Math.round(cut * BINS);
-            double all = 0;
-            for (int i = from; i < BINS; i++) {
-                all += tally[i];
-            }
-            double sum = 0;
-            for (int i = from; i < BINS; i++) {
+            double half = Arrays.stream(tally, from, BINS).sum() / 2;
+            int i = from;
+            for (double sum = 0; i < BINS && sum < half; i++) {
                 sum += tally[i];
-                if (sum >= all / 2) {
-                    return (i + 1.0) / BINS;
-                }
-            }
-            return cut;
-        }
-
-        private void post() {
-            String unit = word("level-unit", "none");
-            if (unit.equals("min_rank")) {
-                rulings.add(Ruling.of(What.POST, cut));
             }
+            return (double) i / BINS;
         }
     }
 
@@ -571,18 +528,13 @@
             held.add(c);
             // One always runs, or a server that was slow for a while would never learn that it is not; but never one
             // that lay unread until nothing more can be earned: started, it would only be stopped again.
-            if (now >= c.useful || cores.busy() && c.hopeless(cores.room(c) ? 0 : waitFor(c))) {
+            if (now >= c.useful || cores.on > 0 && c.hopeless(cores.room(c) ? 0 : waitFor(c))) {
                 giveUp(c);
             } else {
                 pull();
             }
         }
 
-        /** Newest first once the hold has stood full for a while: the oldest would all come too late. */
-        private boolean newestFirst() {
-            return now - fullSince > shortestLimit;
-        }
-
         private double waitFor(Case c) {
             double outgoing = finished.rate();
             long ahead = held.stream().filter(h -> h != c && !after(h, c)).count();
@@ -594,17 +546,13 @@
             if (a.offering.payoff() != b.offering.payoff()) {
                 return a.offering.payoff() < b.offering.payoff();
             }
-            return newestFirst() ? a.arrived < b.arrived : a.arrived > b.arrived;
+            // Newest first once the hold has stood full for a while: the oldest would all come too late.
+            return now - fullSince > shortestLimit ? a.arrived < b.arrived : a.arrived > b.arrived;
         }
 
         void pull() {
             while (!held.isEmpty()) {
-                Case best = held.get(0);
-                for (Case c : held) {
-                    if (after(best, c)) {
-                        best = c;
-                    }
-                }
+                Case best = held.stream().reduce((a, b) -> after(a, b) ? b : a).get();
                 if (!cores.room(best)) {
                     return;
                 }
@@ -629,7 +577,7 @@
         @Override
         void tend() {
             for (Case c : List.copyOf(held)) {
-                if (c.place == Place.HELD && cores.busy() && c.hopeless(0)) {
+                if (c.place == Place.HELD && cores.on > 0 && c.hopeless(0)) {
                     giveUp(c);
                 }
             }
@@ -647,14 +595,6 @@
         private boolean pressed;
         private double nextLook = 1;
 
-        boolean busy() {
-            return on > 0;
-        }
-
-        boolean idle() {
-            return on < number("cores", 1);
-        }
-
         /** The crowd that kills, by the slowest warm-up the terms allow. */
         private double ceiling() {
             double speed = 1;
@@ -680,9 +620,9 @@
             rulings.add(Ruling.of(What.START, c.ticket));
         }
 
-        void leave(Case c, Place to) {
+        void leave(Case c) {
             on--;
-            move(c, to);
+            move(c, Place.PARKED);
             hold.pull();
         }
 
@@ -812,7 +752,8 @@
                 if (c.answered) {
                     return;
                 }
-                boolean again = ending.neverRan() || c.retriable() && ending != Ending.ABANDONED;
+                boolean again = ending.neverRan()
+                        || c.offering.repeats() == Repeats.RETRIABLE && ending != Ending.ABANDONED;
                 if (again && c.offering.poorerShare() == 0) {
                     // Turned away at once and asked at once again, a few tickets would read the tier below to death.
                     c.callAgainAt = now + Math.max(period, callTime.value) * (0.5 + chance.nextDouble()) * ++c.tries;
@@ -902,10 +843,6 @@
         }
     }
 
-    private static double log2(double x) {
-        return Math.log(x) / Math.log(2);
-    }
-
     @SuppressWarnings("unchecked")
     private List<Offering> offerings() {
         return (List<Offering>) terms.get("offerings");
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -1,6 +1,7 @@
 package topazladder;
 
 import static topazladder.Desk.ISSUE;
+import static topazladder.Desk.LATE;
 import static topazladder.Desk.PLACE;
 import static topazladder.Desk.READ;
 
@@ -24,7 +25,8 @@
 
     @Test
     void dueTimeCountsFromArrivalAtTheMachine() {
-        new Desk().open().arrive("a", PLACE, 0.5, 4, null).until(2).matches("due-from-arrival");
+        new Desk().open().arrive("a", LATE, 0.5, 4, null).arrive("b", READ, 0.5, 4, null).until(2)
+                .matches("due-from-arrival");
     }
 
     @Test
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -24,6 +24,7 @@
 final class Desk {
     static final Offering READ = new Offering("read", Repeats.RETRIABLE, 2, 5, 1, 0, 0, true, 0.5);
     static final Offering PLACE = new Offering("place", Repeats.FINGERPRINTED, 2, 5, 10, 0, 12, true, 0);
+    static final Offering LATE = new Offering("late", Repeats.FINGERPRINTED, 2, 5, 10, 0.5, 12, true, 0);
     static final Offering ISSUE = new Offering("issue", Repeats.BINDING, 2, 5, 10, 0, 0, true, 0);
 
     private final Map<String, Object> terms = new LinkedHashMap<>(Map.of("cores", 1.0, "memory", 1000.0,
@@ -41,7 +42,7 @@
     }
 
     Desk open() {
-        terms.putIfAbsent("offerings", List.of(READ, PLACE, ISSUE));
+        terms.putIfAbsent("offerings", List.of(READ, PLACE, LATE, ISSUE));
         brain = new Brain(new SplittableRandom(1), terms);
         write("start", brain.start(0));
         return this;
