--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -27,7 +27,7 @@
  * tells the mechanism. A ticket passes the stages below from top to bottom; what ends passes them upwards.
  */
 public final class Brain {
-    /** Rulings take effect one batch late and footprints are floats: never plan for the last of the memory. */
+    /** Rulings take effect a batch late and footprints are rounded: never plan for the last of the memory. */
     private static final double MEMORY_USED = 0.95;
     /** The crowd is averaged by others over their own span, so stay clear of what kills. */
     private static final double CROWD_USED = 0.75;
@@ -79,7 +79,7 @@
 
     public List<Ruling> start(double time) {
         return at(time, () -> {
-            // A check answered from store costs next to nothing; a real one would load cores and what lies below.
+            // A check answered from store costs next to nothing; a real one loads cores and what lies below.
             rulings.add(Ruling.health(true));
             rulings.add(Ruling.of(What.WAKE, period));
         });
@@ -136,7 +136,7 @@
         return at(time, () -> {
             gauges = readings;
             for (Case c : List.copyOf(open.values())) {
-                if (!c.answered && c.place != Place.OVER && now + period >= Math.min(c.due, drain.lastAnswer())) {
+                if (!c.answered && now + period >= Math.min(c.due, drain.lastAnswer())) {
                     giveUp(c);
                 }
             }
@@ -184,7 +184,8 @@
             this.ticket = ticket;
             offering = ticket.offering();
             arrived = now - ticket.waited();
-            due = Math.max(now, ticket.patience() > 0 ? now + ticket.patience() : arrived + offering.outerLimit());
+            double last = ticket.patience() > 0 ? now + ticket.patience() : arrived + offering.outerLimit();
+            due = Math.max(now, last);
             useful = offering.latePayoff() > 0 ? due : Math.min(due, arrived + offering.softLimit());
         }
 
@@ -238,8 +239,8 @@
     }
 
     /**
-     * Whether another server would hardly take it either: as far as those that come have been turned away before.
-     * Each further try costs a reading somewhere, so where all are full, walking on makes it worse for all.
+     * Whether another server would hardly take it either, as far as those that come were turned away before.
+     * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all.
      */
     private boolean fullElsewhere(Case c) {
         return c.ticket.laterTry() || chance.nextDouble() < 2 * laterTries.value;
@@ -321,8 +322,8 @@
         }
 
         private void takeNew(Case c) {
-            // Run unremembered it could run twice; a window too long for the memory costs some tickets instead. But
-            // fingerprints may not starve what else is to run: what fills the cores is kept free of them.
+            // Run unremembered it could run twice; a window too long for the memory costs some tickets instead.
+            // But fingerprints may not starve what else is to run: what fills the cores is kept free of them.
             double all = footprint() + number("fingerprint-footprint", 0) + memory.working();
             if (all > number("memory", Double.MAX_VALUE) * MEMORY_USED) {
                 turnAway(c, entries.isEmpty() ? 0 : entries.peek().rememberedUntil - now, false);
@@ -433,8 +434,7 @@
         @Override
         void take(Case c) {
             footprints.add(c.ticket.footprint());
-            double entry = c.offering.repeats() == Repeats.FINGERPRINTED ? number("fingerprint-footprint", 0) : 0;
-            if (room(entry)) {
+            if (room(c.offering.repeats() == Repeats.FINGERPRINTED ? number("fingerprint-footprint", 0) : 0)) {
                 level.take(c);
             } else {
                 turnAway(c, hold.drainTime(), fullElsewhere(c));
@@ -468,7 +468,7 @@
             if (now < nextUpdate) {
                 return;
             }
-            // A level is heard for a limited time: four steps within it, so that one that is out of date is rare.
+            // A level is heard for a limited time: with four steps within it one out of date is rare.
             double every = number("heeded", 1) / 4;
             nextUpdate = now + every;
             double before = cut;
@@ -497,7 +497,8 @@
                 return 0;
             }
             double capacity = taken.rate() * Math.pow(2, below.size());
-            return (int) Math.max(0, Math.round(Math.log(capacity / outgoing * (waiting / target)) / Math.log(2)));
+            double factor = Math.log(capacity / outgoing * (waiting / target)) / Math.log(2);
+            return (int) Math.max(0, Math.round(factor));
         }
 
         /** K: what is finished in half the shortest soft limit, so that waiting leaves time to run. */
@@ -526,8 +527,8 @@
         @Override
         void take(Case c) {
             held.add(c);
-            // One always runs, or a server that was slow for a while would never learn that it is not; but never one
-            // that lay unread until nothing more can be earned: started, it would only be stopped again.
+            // One always runs, or a server that was slow for a while would never learn that it is not; but never
+            // one that lay unread until nothing more can be earned: started, it would only be stopped again.
             if (now >= c.useful || cores.on > 0 && c.hopeless(cores.room(c) ? 0 : waitFor(c))) {
                 giveUp(c);
             } else {
@@ -644,8 +645,8 @@
             if (now < nextLook) {
                 return;
             }
-            // The gauge averages over half a second: only what waited all that time tells that the bound left cores
-            // idle, as where runs wait for a disk. A queue of a moment does not, and would let the bound creep up.
+            // The gauge averages over half a second: only what waited all that time tells that the bound left
+            // cores idle, as where runs wait for a disk. A queue of a moment would let the bound creep up.
             if (pressed && gauges.getOrDefault("core-use", 1.0) < 0.9) {
                 bound++;
             } else if (bound > number("cores", 1)) {
@@ -684,10 +685,11 @@
 
         private double most() {
             double share = number("calls-share", 0);
-            return word("below", "none").equals("common") && share > 0 ? share * CALLS_USED : Double.POSITIVE_INFINITY;
+            boolean shared = word("below", "none").equals("common") && share > 0;
+            return shared ? share * CALLS_USED : Double.POSITIVE_INFINITY;
         }
 
-        /** The share is what kills; what serves best is found by whether calls take longer than they need to. */
+        /** The share is what kills; what serves best is found by whether calls take longer than they need. */
         private void follow(boolean crowded) {
             pace = Math.max(most() / 16, Math.min(most(), pace * (crowded ? 0.95 : 1.03)));
         }
@@ -755,8 +757,9 @@
                 boolean again = ending.neverRan()
                         || c.offering.repeats() == Repeats.RETRIABLE && ending != Ending.ABANDONED;
                 if (again && c.offering.poorerShare() == 0) {
-                    // Turned away at once and asked at once again, a few tickets would read the tier below to death.
-                    c.callAgainAt = now + Math.max(period, callTime.value) * (0.5 + chance.nextDouble()) * ++c.tries;
+                    // Turned away and asked again at once, a few tickets would read the tier below to death.
+                    double wait = Math.max(period, callTime.value) * ++c.tries;
+                    c.callAgainAt = now + wait * (0.5 + chance.nextDouble());
                     c.waitingSince = now;
                     parked.add(c);
                 } else {
