Count readings and new connections in the run bound, up to half of it

Change: runs start only while they and the others on the cores (gauge less own runs, a mean of four looks) stay under the bound; the others count for at most half of it. Holds against any flood of readings, checks or connections; it hurts where these need the cores but do not crowd them.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -593,6 +593,8 @@
     private final class Cores extends Stage {
         private int on;
         private int bound = (int) number("cores", 1);
+        /** What else wants a core: readings, checks, new connections. Crowding them out would blind the server. */
+        private final Mean others = new Mean(4);
         private boolean pressed;
         private double nextLook = 1;
 
@@ -609,7 +611,8 @@
         boolean room(Case c) {
             double more = c.ticket.footprint() * (number("run-factor", 1) - 1);
             // Tickets at a call come back to the cores by themselves, all at once if they must.
-            return on < bound && on + calls.inHand < ceiling() && memory.room(more);
+            return on + Math.min(others.value, bound / 2.0) < bound && on + calls.inHand < ceiling()
+                    && memory.room(more);
         }
 
         @Override
@@ -641,6 +644,7 @@
 
         @Override
         void tend() {
+            others.add(Math.max(0, gauges.getOrDefault("on-cores", (double) on) - on));
             pressed &= on >= bound && !hold.held.isEmpty();
             if (now < nextLook) {
                 return;
