--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -593,7 +593,7 @@
     private final class Cores extends Stage {
         private int on;
         private int bound = (int) number("cores", 1);
-        /** What else wants a core: readings, checks, new connections. Crowding them out would blind the server. */
+        /** What else wants a core: readings, checks, new connections. Crowded out, they leave the server blind. */
         private final Mean others = new Mean(4);
         private boolean pressed;
         private double nextLook = 1;
@@ -611,8 +611,8 @@
         boolean room(Case c) {
             double more = c.ticket.footprint() * (number("run-factor", 1) - 1);
             // Tickets at a call come back to the cores by themselves, all at once if they must.
-            return on + Math.min(others.value, bound / 2.0) < bound && on + calls.inHand < ceiling()
-                    && memory.room(more);
+            return on < bound && on + Math.min(others.value - 1, bound / 2.0) < bound
+                    && on + calls.inHand < ceiling() && memory.room(more);
         }
 
         @Override
@@ -746,7 +746,7 @@
                 if (longTime.seen == longTime.most) {
                     quickest = Math.min(longTime.value, quickest * 1.0005);
                 }
-                follow(callTime.value > 3 * quickest);
+                follow(callTime.value > 2 * quickest);
                 cores.resume(c);
             } else {
                 follow(true);
