Cut the pace of calls once a call time, from what is in use, by a capped strain

Change: cut a quarter of what is in use once a call time, back a tenth a call; strain is the capped ratio to the quickest; one call is always asked.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -673,9 +673,12 @@
         private final Mean longTime = new Mean(40);
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
+        /** How many times the quickest the recent calls took. */
+        private final Mean strain = new Mean();
         private int inHand;
         /** How many calls this server means to have in hand on average. */
         private double pace = most();
+        private double lastCut;
         /** Call-seconds spent beyond the pace. */
         private double spent;
         private double spentAt;
@@ -695,7 +698,13 @@
 
         /** The share is what kills; what serves best is found by whether calls take longer than they need. */
         private void follow(boolean crowded) {
-            pace = Math.max(most() / 16, Math.min(most(), pace * (crowded ? 0.95 : 1.03)));
+            if (!crowded) {
+                pace = Math.min(most(), pace * 1.1);
+            } else if (now - lastCut > callTime.value) {
+                // From what is in use, and once in the time that shows what the last cut did.
+                pace = Math.max(most() / 16, Math.min(pace, inHand + 1) * 0.75);
+                lastCut = now;
+            }
         }
 
         /** Calls that can be left out stop at half the burst, so that those that can't find room. */
@@ -706,7 +715,8 @@
             spent = Math.max(0, spent + (inHand + lingering.size() - pace) * (now - spentAt));
             spentAt = now;
             double burst = pace * number("calls-span", 5) / (c.offering.poorerShare() > 0 ? 8 : 4);
-            return spent + callTime.value <= burst && inHand + lingering.size() < Math.max(1, 4 * pace);
+            // With nothing spent one call is made, or what was slow once would never be known to have recovered.
+            return spent + Math.min(callTime.value, burst) <= burst && inHand + lingering.size() < Math.max(1, 4 * pace);
         }
 
         void pump() {
@@ -746,7 +756,9 @@
                 if (longTime.seen == longTime.most) {
                     quickest = Math.min(longTime.value, quickest * 1.0005);
                 }
-                follow(callTime.value > 2 * quickest);
+                // Capped, or one that hung would make the next thirty look crowded.
+                strain.add(Math.min(4, elapsed / quickest));
+                follow(strain.value > 2);
                 cores.resume(c);
             } else {
                 follow(true);
