--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -677,7 +677,7 @@
         private final Mean strain = new Mean();
         private int inHand;
         /** How many calls this server means to have in hand on average. */
-        private double pace = most();
+        private double pace = most() / 4;
         private double lastCut;
         /** Call-seconds spent beyond the pace. */
         private double spent;
@@ -699,7 +699,8 @@
         /** The share is what kills; what serves best is found by whether calls take longer than they need. */
         private void follow(boolean crowded) {
             if (!crowded) {
-                pace = Math.min(most(), pace * 1.1);
+                // Never far above what is in use, or the next crowd would be met with no limit at all.
+                pace = Math.min(most(), Math.max(pace, Math.min(pace * 1.1, inHand + 1)));
             } else if (now - lastCut > callTime.value) {
                 // From what is in use, and once in the time that shows what the last cut did.
                 pace = Math.max(most() / 16, Math.min(pace, inHand + 1) * 0.75);
