Call the server ill while it reads too late and honours under a tenth

Change: with readings later than half the shortest soft limit and under a tenth of them honoured, health answers go bad for a soft limit, doubled to four on relapse; only fresh readings count after it. Holds against any server that hangs or crawls. It could hurt where all servers crawl at once and health empties the list.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -380,12 +380,38 @@
         private double graceEnds = Double.POSITIVE_INFINITY;
         private double stop = Double.POSITIVE_INFINITY;
 
+        private final Flow read = new Flow(shortestLimit);
+        private Mean waits = new Mean();
+        private double illUntil;
+        private double rest = shortestLimit;
+        private boolean good = true;
+
         void begin(double left) {
             graceEnds = now + number("drain-grace", 0);
             stop = now + left;
             rulings.add(Ruling.health(false));
         }
 
+        /**
+         * A server so slow that reading alone fills its cores answers nearly nothing in time: it calls itself ill, and
+         * for longer each time it falls back. Not for a crowd that all servers share: those still honour some.
+         */
+        private void health() {
+            boolean late = waits.seen == waits.most && waits.value > shortestLimit / 2;
+            if (late && finished.rate() < read.rate() / 10 && now > illUntil) {
+                illUntil = now + rest;
+                rest = Math.min(2 * rest, 4 * shortestLimit);
+            }
+            // Only what is read after a rest tells how it is now.
+            if (now <= illUntil) {
+                waits = new Mean();
+            }
+            if (good != now > illUntil && stop == Double.POSITIVE_INFINITY) {
+                good = !good;
+                rulings.add(Ruling.health(good));
+            }
+        }
+
         double lastAnswer() {
             // Two periods: the timer may come a batch late, and the answer must still get out.
             return stop - 2 * period;
@@ -393,6 +419,8 @@
 
         @Override
         void take(Case c) {
+            read.add(1);
+            waits.add(c.ticket.waited());
             if (tooLate(c)) {
                 turnAway(c, number("stay-away-most", 0), false);
             } else {
@@ -406,6 +434,7 @@
 
         @Override
         void tend() {
+            health();
             if (stop < Double.POSITIVE_INFINITY) {
                 for (Case c : hold.held.stream().filter(this::tooLate).toList()) {
                     if (c.place == Place.HELD) {
