--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -243,7 +243,7 @@
      * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all.
      */
     private boolean fullElsewhere(Case c) {
-        return c.ticket.laterTry() || chance.nextDouble() < 10 * laterTries.value;
+        return c.ticket.laterTry() || chance.nextDouble() < 4 * laterTries.value;
     }
 
     private void defer(Case c, double stayAway, boolean notElsewhere) {
