--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -485,7 +485,7 @@
         void take(Case c) {
             tally[Math.min(BINS - 1, (int) (c.ticket.rank() * BINS))]++;
             if (c.ticket.rank() < cut) {
-                turnAway(c, 0, fullElsewhere(c));
+                turnAway(c, hold.drainTime(), fullElsewhere(c));
             } else {
                 taken.add(1);
                 hold.take(c);
