Set the level to 0 at once where the design says it is 0

DESIGN states that the level is 0 while outgoing is 0, cores idle or K or fewer are held; the code stepped down to it.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -508,6 +508,9 @@
                     below.push(cut);
                     cut = next;
                 }
+            } else if (factor < 0) {
+                below.clear();
+                cut = 0;
             } else if (factor < below.size()) {
                 cut = below.pop();
             }
@@ -523,7 +526,7 @@
             double target = target();
             int waiting = hold.held.size();
             if (outgoing <= 0 || cores.on < number("cores", 1) || waiting <= target) {
-                return 0;
+                return -1;
             }
             double capacity = taken.rate() * Math.pow(2, below.size());
             double factor = Math.log(capacity / outgoing * (waiting / target)) / Math.log(2);
