--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -56,16 +56,17 @@
     private final double shortestLimit;
     private double now;
     private final Flow finished;
-    private final Mean laterTries = new Mean();
+    private final Mean laterTries = new Mean(10);
     private Map<String, Double> gauges = Map.of();
 
     public Brain(RandomGenerator chance, Map<String, Object> terms) {
         this.chance = chance;
         this.terms = terms;
-        offerings().forEach(o -> runTimes.put(o, new Mean()));
-        shortestLimit = offerings().stream().mapToDouble(Offering::softLimit).min().orElse(1);
+        List<Offering> offerings = term("offerings", List.of());
+        offerings.forEach(o -> runTimes.put(o, new Mean(10)));
+        shortestLimit = offerings.stream().mapToDouble(Offering::softLimit).min().orElse(1);
         // A quarter of the slack leaves room for a late batch and costs few timers.
-        period = Math.max(number("tick", 0.001), Math.max(0.01, number("answer-slack", 0) / 4));
+        period = Math.max(term("tick", 0.001), Math.max(0.01, term("answer-slack", 0.0) / 4));
         finished = new Flow(shortestLimit);
         repeats = new Repeating();
         drain = new Draining();
@@ -116,7 +117,6 @@
                 finished.add(1);
                 runTimes.get(c.offering).add(elapsed);
             }
-            // Any other ending leaves no answer only where a run was stopped, which is never done before it.
             close(c);
         });
     }
@@ -145,9 +145,8 @@
         });
     }
 
-    /** @param left seconds until the process is stopped */
-    public List<Ruling> leave(double time, double left) {
-        return at(time, () -> drain.begin(left));
+    public List<Ruling> leave(double time, double secondsToStop) {
+        return at(time, () -> drain.begin(secondsToStop));
     }
 
     /** Whether the ticket can still be named in a ruling. */
@@ -159,7 +158,6 @@
 
     private enum Place { HELD, FOLLOWING, JOINED, RUNNING, PARKED, CALLING, OVER }
 
-    /** One ticket in hand and how far it has come. */
     private final class Case {
         final Ticket ticket;
         final Offering offering;
@@ -191,7 +189,7 @@
 
         double footprint() {
             boolean small = place == Place.HELD || place == Place.FOLLOWING;
-            return place == Place.OVER ? 0 : ticket.footprint() * (small ? 1 : number("run-factor", 1));
+            return place == Place.OVER ? 0 : ticket.footprint() * (small ? 1 : term("run-factor", 1.0));
         }
 
         /** Whether nothing more can be earned with it if it starts in so many seconds. */
@@ -204,11 +202,9 @@
     private abstract class Stage {
         abstract void take(Case c);
 
-        void back(Case c) {
-        }
+        void back(Case c) { }
 
-        void tend() {
-        }
+        void tend() { }
     }
 
     private List<Ruling> at(double time, Runnable happening) {
@@ -243,20 +239,15 @@
      * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all.
      */
     private boolean fullElsewhere(Case c) {
-        return c.ticket.laterTry() || chance.nextDouble() < 4 * laterTries.value;
+        return !drain.leaving() && (c.ticket.laterTry() || chance.nextDouble() < 4 * laterTries.value);
     }
 
     private void defer(Case c, double stayAway, boolean notElsewhere) {
-        double most = flag("stay-away", false) ? number("stay-away-most", 0) : 0;
+        double most = term("stay-away", false) ? term("stay-away-most", 0.0) : 0;
         rulings.add(Ruling.defer(c.ticket, Math.min(stayAway, most), notElsewhere));
         c.answered = true;
     }
 
-    private void turnAway(Case c, double stayAway, boolean notElsewhere) {
-        defer(c, stayAway, notElsewhere);
-        close(c);
-    }
-
     /** The final answer, at once; what still runs is stopped where that can be done. */
     private void giveUp(Case c) {
         if (!c.ran || c.offering.repeats() == Repeats.RETRIABLE) {
@@ -277,7 +268,7 @@
     }
 
     private void stop(Case c) {
-        if (!word("halt", "none").equals("none")) {
+        if (!term("halt", "none").equals("none")) {
             rulings.add(Ruling.of(What.STOP, c.ticket));
         }
     }
@@ -302,8 +293,7 @@
         private final PriorityQueue<Case> entries =
                 new PriorityQueue<>(Comparator.comparingDouble((Case c) -> c.rememberedUntil));
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             if (c.offering.repeats() != Repeats.FINGERPRINTED) {
                 drain.take(c);
                 return;
@@ -322,11 +312,12 @@
         }
 
         private void takeNew(Case c) {
-            // Run unremembered it could run twice; a window too long for the memory costs some tickets instead.
-            // But fingerprints may not starve what else is to run: what fills the cores is kept free of them.
-            double all = footprint() + number("fingerprint-footprint", 0) + memory.working();
-            if (all > number("memory", Double.MAX_VALUE) * MEMORY_USED) {
-                turnAway(c, entries.isEmpty() ? 0 : entries.peek().rememberedUntil - now, false);
+            // Run unremembered it could run twice; a window too long for the memory costs tickets instead.
+            // But fingerprints may not starve what else is to run: what fills the cores is kept free.
+            double all = footprint() + term("fingerprint-footprint", 0.0) + memory.working();
+            if (all > term("memory", Double.MAX_VALUE) * MEMORY_USED) {
+                defer(c, entries.isEmpty() ? 0 : entries.peek().rememberedUntil - now, false);
+                close(c);
                 return;
             }
             drain.take(c);
@@ -343,8 +334,7 @@
             rulings.add(Ruling.of(What.JOIN, c.ticket));
         }
 
-        @Override
-        void back(Case c) {
+        @Override void back(Case c) {
             if (!c.ran && entries.remove(c)) {
                 rulings.add(Ruling.of(What.FORGET, c.ticket));
             }
@@ -362,15 +352,12 @@
             }
         }
 
-        @Override
-        void tend() {
-            while (!entries.isEmpty() && entries.peek().rememberedUntil <= now) {
-                entries.poll();
-            }
+        @Override void tend() {
+            entries.removeIf(c -> c.rememberedUntil <= now);
         }
 
         double footprint() {
-            return entries.size() * number("fingerprint-footprint", 0);
+            return entries.size() * term("fingerprint-footprint", 0.0);
         }
     }
 
@@ -381,20 +368,20 @@
         private double stop = Double.POSITIVE_INFINITY;
 
         private final Flow read = new Flow(shortestLimit);
-        private Mean waits = new Mean();
+        private Mean waits = new Mean(10);
         private double illUntil;
         private double rest = shortestLimit;
         private boolean good = true;
 
         void begin(double left) {
-            graceEnds = now + number("drain-grace", 0);
+            graceEnds = now + term("drain-grace", 0.0);
             stop = now + left;
             rulings.add(Ruling.health(false));
         }
 
         /**
-         * A server so slow that reading alone fills its cores answers nearly nothing in time: it calls itself ill, and
-         * for longer each time it falls back. Not for a crowd that all servers share: those still honour some.
+         * A server so slow that reading alone fills its cores answers nearly nothing in time: it calls itself
+         * ill, longer each time it falls back. Not so in a crowd that all share: those still honour some.
          */
         private void health() {
             boolean late = waits.seen == waits.most && waits.value > shortestLimit / 2;
@@ -404,9 +391,9 @@
             }
             // Only what is read after a rest tells how it is now.
             if (now <= illUntil) {
-                waits = new Mean();
+                waits = new Mean(10);
             }
-            if (good != now > illUntil && stop == Double.POSITIVE_INFINITY) {
+            if (good != now > illUntil && !leaving()) {
                 good = !good;
                 rulings.add(Ruling.health(good));
             }
@@ -417,56 +404,51 @@
             return stop - 2 * period;
         }
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             read.add(1);
             waits.add(c.ticket.waited());
             if (tooLate(c)) {
-                turnAway(c, number("stay-away-most", 0), false);
+                giveUp(c);
             } else {
                 memory.take(c);
             }
         }
 
-        private boolean tooLate(Case c) {
+        boolean leaving() {
+            return stop < Double.POSITIVE_INFINITY;
+        }
+
+        boolean tooLate(Case c) {
             return c.arrived > graceEnds || now + runTimes.get(c.offering).value >= lastAnswer();
         }
 
-        @Override
-        void tend() {
+        @Override void tend() {
             health();
-            if (stop < Double.POSITIVE_INFINITY) {
-                for (Case c : hold.held.stream().filter(this::tooLate).toList()) {
-                    if (c.place == Place.HELD) {
-                        turnAway(c, number("stay-away-most", 0), false);
-                    }
-                }
-            }
         }
     }
 
     // ---- Memory: held, running and remembered together
 
     private final class Memory extends Stage {
-        private final Mean footprints = new Mean();
+        private final Mean footprints = new Mean(10);
         private double taken;
 
         /** What the tickets in hand need, or would with the cores well filled. */
         double working() {
-            return Math.max(taken, number("cores", 1) * footprints.value * number("run-factor", 1));
+            return Math.max(taken, term("cores", 1.0) * footprints.value * term("run-factor", 1.0));
         }
 
         boolean room(double more) {
-            return taken + repeats.footprint() + more <= number("memory", Double.MAX_VALUE) * MEMORY_USED;
+            return taken + repeats.footprint() + more <= term("memory", Double.MAX_VALUE) * MEMORY_USED;
         }
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             footprints.add(c.ticket.footprint());
-            if (room(c.offering.repeats() == Repeats.FINGERPRINTED ? number("fingerprint-footprint", 0) : 0)) {
+            boolean remembered = c.offering.repeats() == Repeats.FINGERPRINTED;
+            if (room(remembered ? term("fingerprint-footprint", 0.0) : 0)) {
                 level.take(c);
             } else {
-                turnAway(c, hold.drainTime(), fullElsewhere(c));
+                giveUp(c);
             }
         }
     }
@@ -481,24 +463,22 @@
         private double cut;
         private double nextUpdate = 1;
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             tally[Math.min(BINS - 1, (int) (c.ticket.rank() * BINS))]++;
             if (c.ticket.rank() < cut) {
-                turnAway(c, hold.drainTime(), fullElsewhere(c));
+                giveUp(c);
             } else {
                 taken.add(1);
                 hold.take(c);
             }
         }
 
-        @Override
-        void tend() {
+        @Override void tend() {
             if (now < nextUpdate) {
                 return;
             }
             // A level is heard for a limited time: with four steps within it one out of date is rare.
-            double every = number("heeded", 1) / 4;
+            double every = term("heeded", 1.0) / 4;
             nextUpdate = now + every;
             double before = cut;
             int factor = factor();
@@ -516,7 +496,7 @@
             }
             double fade = Math.exp(-every / shortestLimit);
             Arrays.setAll(tally, i -> tally[i] * fade);
-            if (cut != before && word("level-unit", "none").equals("min_rank")) {
+            if (cut != before && term("level-unit", "none").equals("min_rank")) {
                 rulings.add(Ruling.of(What.POST, cut));
             }
         }
@@ -525,7 +505,7 @@
             double outgoing = finished.rate();
             double target = target();
             int waiting = hold.held.size();
-            if (outgoing <= 0 || cores.on < number("cores", 1) || waiting <= target) {
+            if (outgoing <= 0 || cores.on < term("cores", 1.0) || waiting <= target) {
                 return -1;
             }
             double capacity = taken.rate() * Math.pow(2, below.size());
@@ -535,7 +515,7 @@
 
         /** K: what is finished in half the shortest soft limit, so that waiting leaves time to run. */
         double target() {
-            return Math.max(number("cores", 1), finished.rate() * shortestLimit / 2);
+            return Math.max(term("cores", 1.0), finished.rate() * shortestLimit / 2);
         }
 
         private double median() {
@@ -556,11 +536,10 @@
         private final List<Case> held = new ArrayList<>();
         private double fullSince = Double.POSITIVE_INFINITY;
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             held.add(c);
-            // One always runs, or a server that was slow for a while would never learn that it is not; but never
-            // one that lay unread until nothing more can be earned: started, it would only be stopped again.
+            // One always runs, or a server that was slow for a while would never learn that it is not; but no
+            // ticket that lay unread until nothing can be earned: started, it would only be stopped again.
             if (now >= c.useful || cores.on > 0 && c.hopeless(cores.room(c) ? 0 : waitFor(c))) {
                 giveUp(c);
             } else {
@@ -597,20 +576,17 @@
         /** Seconds until the hold is back at its target. */
         double drainTime() {
             double outgoing = finished.rate();
-            return outgoing <= 0 ? shortestLimit : Math.max(0, held.size() - level.target()) / outgoing;
+            double above = Math.max(0, held.size() - level.target());
+            return outgoing <= 0 || drain.leaving() ? shortestLimit : above / outgoing;
         }
 
-        @Override
-        void back(Case c) {
-            if (c.place == Place.HELD) {
-                held.remove(c);
-            }
+        @Override void back(Case c) {
+            held.remove(c);
         }
 
-        @Override
-        void tend() {
+        @Override void tend() {
             for (Case c : List.copyOf(held)) {
-                if (c.place == Place.HELD && cores.on > 0 && c.hopeless(0)) {
+                if (c.place == Place.HELD && (drain.tooLate(c) || cores.on > 0 && c.hopeless(0))) {
                     giveUp(c);
                 }
             }
@@ -624,31 +600,27 @@
 
     private final class Cores extends Stage {
         private int on;
-        private int bound = (int) number("cores", 1);
-        /** What else wants a core: readings, checks, new connections. Crowded out, they leave the server blind. */
+        private double bound = term("cores", 1.0);
+        /** What else wants a core: readings, checks, new connections. Crowded out they leave it blind. */
         private final Mean others = new Mean(4);
         private boolean pressed;
         private double nextLook = 1;
 
         /** The crowd that kills, by the slowest warm-up the terms allow. */
         private double ceiling() {
-            double speed = 1;
-            if (flag("cold", false)) {
-                double from = number("cold-from", 0);
-                speed = Math.min(1, from + (1 - from) * now / number("warm-after", 1));
-            }
-            return number("cores", 1) * (1 + (number("fall-multiple", 2) - 1) * speed) * CROWD_USED;
+            double from = term("cold", false) ? term("cold-from", 0.0) : 1;
+            double speed = Math.min(1, from + (1 - from) * now / term("warm-after", 1.0));
+            return term("cores", 1.0) * (1 + (term("fall-multiple", 2.0) - 1) * speed) * CROWD_USED;
         }
 
         boolean room(Case c) {
-            double more = c.ticket.footprint() * (number("run-factor", 1) - 1);
+            double more = c.ticket.footprint() * (term("run-factor", 1.0) - 1);
             // Tickets at a call come back to the cores by themselves, all at once if they must.
-            return on < bound && on + Math.min(others.value - 1, bound / 2.0) < bound
+            return on < bound && on + Math.min(others.value - 1, bound / 2) < bound
                     && on + calls.inHand < ceiling() && memory.room(more);
         }
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             c.ran = true;
             c.started = now;
             move(c, Place.RUNNING);
@@ -667,15 +639,13 @@
             move(c, Place.RUNNING);
         }
 
-        @Override
-        void back(Case c) {
+        @Override void back(Case c) {
             if (c.place == Place.RUNNING) {
                 on--;
             }
         }
 
-        @Override
-        void tend() {
+        @Override void tend() {
             others.add(Math.max(0, gauges.getOrDefault("on-cores", (double) on) - on));
             pressed &= on >= bound && !hold.held.isEmpty();
             if (now < nextLook) {
@@ -685,7 +655,7 @@
             // cores idle, as where runs wait for a disk. A queue of a moment would let the bound creep up.
             if (pressed && gauges.getOrDefault("core-use", 1.0) < 0.9) {
                 bound++;
-            } else if (bound > number("cores", 1)) {
+            } else if (bound > term("cores", 1.0)) {
                 bound--;
             }
             pressed = true;
@@ -699,14 +669,14 @@
         /** Wait for the pace; emptied by calls, by answers without one, and by endings. */
         private final List<Case> parked = new ArrayList<>();
         /** When given-up calls leave the hands of what lies below; emptied as that passes. */
-        private final Deque<Double> lingering = new ArrayDeque<>();
-        private final Mean callTime = new Mean();
+        private final List<Double> lingering = new ArrayList<>();
+        private final Mean callTime = new Mean(10);
         /** Steadier: the least of a mean of few calls would be luck, and all after it look crowded. */
         private final Mean longTime = new Mean(40);
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
         /** How many times the quickest the recent calls took. */
-        private final Mean strain = new Mean();
+        private final Mean strain = new Mean(10);
         private int inHand;
         /** How many calls this server means to have in hand on average. */
         private double pace = most() / 4;
@@ -715,16 +685,15 @@
         private double spent;
         private double spentAt;
 
-        @Override
-        void take(Case c) {
+        @Override void take(Case c) {
             c.waitingSince = now;
             parked.add(c);
             pump();
         }
 
         private double most() {
-            double share = number("calls-share", 0);
-            boolean shared = word("below", "none").equals("common") && share > 0;
+            double share = term("calls-share", 0.0);
+            boolean shared = term("below", "none").equals("common") && share > 0;
             return shared ? share * CALLS_USED : Double.POSITIVE_INFINITY;
         }
 
@@ -747,9 +716,10 @@
             }
             spent = Math.max(0, spent + (inHand + lingering.size() - pace) * (now - spentAt));
             spentAt = now;
-            double burst = pace * number("calls-span", 5) / (c.offering.poorerShare() > 0 ? 8 : 4);
-            // With nothing spent one call is made, or what was slow once would never be known to have recovered.
-            return spent + Math.min(callTime.value, burst) <= burst && inHand + lingering.size() < Math.max(1, 4 * pace);
+            double burst = pace * term("calls-span", 5.0) / (c.offering.poorerShare() > 0 ? 8 : 4);
+            // With nothing spent one call is made, or what was slow would never be known to have recovered.
+            return spent + Math.min(callTime.value, burst) <= burst
+                    && inHand + lingering.size() < Math.max(1, 4 * pace);
         }
 
         void pump() {
@@ -796,7 +766,7 @@
             } else {
                 follow(true);
                 if (ending == Ending.ABANDONED) {
-                    lingering.add(now + number("call-lingers", 0));
+                    lingering.add(now + term("call-lingers", 0.0));
                     callTime.add(elapsed);
                 }
                 move(c, Place.PARKED);
@@ -821,26 +791,20 @@
         void abandon(Case c) {
             if (c.place == Place.CALLING) {
                 inHand--;
-                lingering.add(now + number("call-lingers", 0));
+                lingering.add(now + term("call-lingers", 0.0));
             }
             parked.remove(c);
             move(c, Place.PARKED);
         }
 
-        @Override
-        void back(Case c) {
-            if (c.place == Place.CALLING) {
-                inHand--;
-                lingering.add(now + number("call-lingers", 0));
+        @Override void back(Case c) {
+            if (c.place == Place.CALLING || c.place == Place.PARKED) {
+                abandon(c);
             }
-            parked.remove(c);
         }
 
-        @Override
-        void tend() {
-            while (!lingering.isEmpty() && lingering.peek() <= now) {
-                lingering.poll();
-            }
+        @Override void tend() {
+            lingering.removeIf(until -> until <= now);
             pump();
         }
     }
@@ -853,10 +817,6 @@
         private double value;
         private int seen;
 
-        Mean() {
-            this(10);
-        }
-
         Mean(int most) {
             this.most = most;
         }
@@ -896,19 +856,7 @@
     }
 
     @SuppressWarnings("unchecked")
-    private List<Offering> offerings() {
-        return (List<Offering>) terms.get("offerings");
-    }
-
-    private double number(String name, double other) {
-        return terms.get(name) instanceof Double d ? d : other;
-    }
-
-    private boolean flag(String name, boolean other) {
-        return terms.get(name) instanceof Boolean b ? b : other;
-    }
-
-    private String word(String name, String other) {
-        return terms.get(name) instanceof String s ? s : other;
+    private <T> T term(String name, T other) {
+        return (T) terms.getOrDefault(name, other);
     }
 }
--- a/src/main/java/topazladder/wire/Terms.java
+++ b/src/main/java/topazladder/wire/Terms.java
@@ -64,6 +64,8 @@
         }
         String names = lines.getOrDefault("Extra.OwnStats", "");
         gauges = Arrays.stream(names.split(",")).map(g -> GAUGES.getOrDefault(g, g)).toList();
+        required("Extra.Cores");
+        required("Extra.MemoryKb");
         readOfferings();
         readCustomers();
         NAMES.forEach((path, name) -> {
