Pace calls under strain by what is usually in hand over the strain

Change: no pace but the share while calls take at most twice their quickest mean; else one and a half times what is usually in hand, divided by the strain over two, at once. Holds against any slow or crowded thing below; could hurt where what is usual changes fast under strain.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -675,12 +675,12 @@
         private final Mean longTime = new Mean(40);
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
-        /** How many times the quickest the recent calls took. */
+        /** How many times the quickest recent calls took; capped, or one that hung would count for thirty. */
         private final Mean strain = new Mean(10);
         private int inHand;
         /** How many calls this server means to have in hand on average. */
         private double pace = most() / 4;
-        private double lastCut;
+        private final Mean usual = new Mean(40);
         /** Call-seconds spent beyond the pace. */
         private double spent;
         private double spentAt;
@@ -697,15 +697,17 @@
             return shared ? share * CALLS_USED : Double.POSITIVE_INFINITY;
         }
 
-        /** The share is what kills; what serves best is found by whether calls take longer than they need. */
-        private void follow(boolean crowded) {
-            if (!crowded) {
-                // Never far above what is in use, or the next crowd would be met with no limit at all.
-                pace = Math.min(most(), Math.max(pace, Math.min(pace * 1.1, inHand + 1)));
-            } else if (now - lastCut > callTime.value) {
-                // From what is in use, and once in the time that shows what the last cut did.
-                pace = Math.max(most() / 16, Math.min(pace, inHand + 1) * 0.75);
-                lastCut = now;
+        /**
+         * The share is what kills. What serves best is what is in use while calls take what they need, less by
+         * as much as they take longer. It follows at once: a cut that stayed would waste what is below.
+         */
+        private void follow(double times) {
+            strain.add(Math.min(4, times));
+            if (strain.value <= 2) {
+                usual.add(inHand);
+                pace = most();
+            } else {
+                pace = Math.min(most(), Math.max(most() / 16, 3 * usual.value / strain.value));
             }
         }
 
@@ -759,12 +761,10 @@
                 if (longTime.seen == longTime.most) {
                     quickest = Math.min(longTime.value, quickest * 1.0005);
                 }
-                // Capped, or one that hung would make the next thirty look crowded.
-                strain.add(Math.min(4, elapsed / quickest));
-                follow(strain.value > 2);
+                follow(elapsed / quickest);
                 cores.resume(c);
             } else {
-                follow(true);
+                follow(4);
                 if (ending == Ending.ABANDONED) {
                     lingering.add(now + term("call-lingers", 0.0));
                     callTime.add(elapsed);
