Do not take cores that read for idle

Cause: since runs give way to readings, fewer than the cores ran under a flood of readings, so the level was held at 0 there. Change: cores are idle when runs and readings together leave some free.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -505,7 +505,7 @@
             double outgoing = finished.rate();
             double target = target();
             int waiting = hold.held.size();
-            if (outgoing <= 0 || cores.on < term("cores", 1.0) || waiting <= target) {
+            if (outgoing <= 0 || cores.idle() || waiting <= target) {
                 return -1;
             }
             double capacity = taken.rate() * Math.pow(2, below.size());
@@ -606,6 +606,11 @@
         private boolean pressed;
         private double nextLook = 1;
 
+        /** Cores that read are not idle, though runs gave way to the readings. */
+        boolean idle() {
+            return on + others.value < term("cores", 1.0);
+        }
+
         /** The crowd that kills, by the slowest warm-up the terms allow. */
         private double ceiling() {
             double from = term("cold", false) ? term("cold-from", 0.0) : 1;
@@ -698,8 +703,8 @@
         }
 
         /**
-         * The share is what kills. What serves best is what is in use while calls take what they need, less by
-         * as much as they take longer. It follows at once: a cut that stayed would waste what is below.
+         * The share is what kills. What serves best is what is used while calls take what they need, or less
+         * by how much longer they take. It follows at once: a cut that stayed would waste what is below.
          */
         private void follow(double times) {
             strain.add(Math.min(4, times));
