Count tickets lying unread as queue

Departure: len(B) counts the unread by their waits on arrival times the readings a second; with waits of 20 ms that is under one. Holds against any bottleneck before the hold; stalls look like it and raise the level for a moment.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -504,7 +504,8 @@
         private int factor() {
             double outgoing = finished.rate();
             double target = target();
-            int waiting = hold.held.size();
+            // Where reading is the bottleneck the queue stands before it: by the waits on arrival, so many.
+            double waiting = hold.held.size() + drain.read.rate() * drain.waits.value;
             if (outgoing <= 0 || cores.idle() || waiting <= target) {
                 return -1;
             }
