--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -239,7 +239,7 @@
      * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all.
      */
     private boolean fullElsewhere(Case c) {
-        return !drain.leaving() && (c.ticket.laterTry() || chance.nextDouble() < 4 * laterTries.value);
+        return !drain.leaving && (c.ticket.laterTry() || chance.nextDouble() < 4 * laterTries.value);
     }
 
     private void defer(Case c, double stayAway, boolean notElsewhere) {
@@ -366,6 +366,7 @@
     private final class Draining extends Stage {
         private double graceEnds = Double.POSITIVE_INFINITY;
         private double stop = Double.POSITIVE_INFINITY;
+        private boolean leaving;
 
         private final Flow read = new Flow(shortestLimit);
         private Mean waits = new Mean(10);
@@ -376,6 +377,7 @@
         void begin(double left) {
             graceEnds = now + term("drain-grace", 0.0);
             stop = now + left;
+            leaving = true;
             rulings.add(Ruling.health(false));
         }
 
@@ -393,7 +395,7 @@
             if (now <= illUntil) {
                 waits = new Mean(10);
             }
-            if (good != now > illUntil && !leaving()) {
+            if (good != now > illUntil && !leaving) {
                 good = !good;
                 rulings.add(Ruling.health(good));
             }
@@ -414,10 +416,6 @@
             }
         }
 
-        boolean leaving() {
-            return stop < Double.POSITIVE_INFINITY;
-        }
-
         boolean tooLate(Case c) {
             return c.arrived > graceEnds || now + runTimes.get(c.offering).value >= lastAnswer();
         }
@@ -444,8 +442,7 @@
 
         @Override void take(Case c) {
             footprints.add(c.ticket.footprint());
-            boolean remembered = c.offering.repeats() == Repeats.FINGERPRINTED;
-            if (room(remembered ? term("fingerprint-footprint", 0.0) : 0)) {
+            if (room(0)) {
                 level.take(c);
             } else {
                 giveUp(c);
@@ -494,8 +491,7 @@
             } else if (factor < below.size()) {
                 cut = below.pop();
             }
-            double fade = Math.exp(-every / shortestLimit);
-            Arrays.setAll(tally, i -> tally[i] * fade);
+            Arrays.setAll(tally, i -> tally[i] * Math.exp(-every / shortestLimit));
             if (cut != before && term("level-unit", "none").equals("min_rank")) {
                 rulings.add(Ruling.of(What.POST, cut));
             }
@@ -578,7 +574,7 @@
         double drainTime() {
             double outgoing = finished.rate();
             double above = Math.max(0, held.size() - level.target());
-            return outgoing <= 0 || drain.leaving() ? shortestLimit : above / outgoing;
+            return outgoing <= 0 || drain.leaving ? shortestLimit : above / outgoing;
         }
 
         @Override void back(Case c) {
@@ -699,7 +695,7 @@
 
         private double most() {
             double share = term("calls-share", 0.0);
-            boolean shared = term("below", "none").equals("common") && share > 0;
+            boolean shared = share > 0 && term("below", "none").equals("common");
             return shared ? share * CALLS_USED : Double.POSITIVE_INFINITY;
         }
 
@@ -738,7 +734,6 @@
                     } else if (allowed(c)) {
                         parked.remove(c);
                         move(c, Place.CALLING);
-                        c.waitingSince = now;
                         inHand++;
                         rulings.add(Ruling.of(What.CALL, c.ticket, c.useful - now));
                     } else if (now - c.waitingSince > callTime.value && c.offering.poorerShare() > 0) {
@@ -785,8 +780,7 @@
                     // Turned away and asked again at once, a few tickets would read the tier below to death.
                     double wait = Math.max(period, callTime.value) * ++c.tries;
                     c.callAgainAt = now + wait * (0.5 + chance.nextDouble());
-                    c.waitingSince = now;
-                    parked.add(c);
+                    take(c);
                 } else {
                     without(c);
                 }
