--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -74,4 +74,41 @@
         }
         desk.matches("cold-crowd");
     }
+
+    @Test
+    void levelRisesInStepsUnderOverloadIsEnforcedAndFallsWhenTheHoldIsShort() {
+        Desk desk = new Desk().with("memory", 100000.0).open();
+        desk.flood(3, 0.1).until(4.5).matches("level");
+    }
+
+    @Test
+    void deferredTicketsAreNotToWalkOnWhereAllHaveWalkedBefore() {
+        new Desk().open().arrive("x", PLACE).arrive("a", READ, 0.2, 2.5, null)
+                .arrive("b", READ, 0.2, 2.5, "gone").arrive("c", READ, 0.2, 2.5, null).matches("walking-on");
+    }
+
+    @Test
+    void serverThatOnlyReadsTooLateCallsItselfIllForAWhile() {
+        Desk desk = new Desk().open();
+        for (int i = 0; i < 12; i++) {
+            desk.until(i * 0.2).arrive("t" + i, READ, 0.2, 3, null);
+        }
+        desk.until(6).matches("ill");
+    }
+
+    @Test
+    void callsArePacedWhileTheyTakeLongAndThoseThatCanBeLeftOutGiveWay() {
+        Desk desk = new Desk().with("below", "common").with("calls-share", 1.0).with("calls-span", 5.0)
+                .with("cores", 4.0).with("memory", 10000.0).open();
+        for (int i = 0; i < 45; i++) {
+            desk.at(i * 0.2).quietly(d -> d.arrive("w", READ).wantsCall("w").callEnds("w", Ending.OK, 0.05)
+                    .runEnds("w", Ending.OK));
+        }
+        for (int i = 0; i < 8; i++) {
+            desk.at(9 + i * 0.1).quietly(d -> d.arrive("s", READ).wantsCall("s").callEnds("s", Ending.OK, 0.9)
+                    .runEnds("s", Ending.OK));
+        }
+        desk.at(10).arrive("a", READ).arrive("b", ISSUE).arrive("c", READ).wantsCall("a").wantsCall("b")
+                .wantsCall("c").until(12.5).matches("pace");
+    }
 }
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -9,10 +9,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import topazladder.ticket.Ending;
 import topazladder.ticket.Offering;
 import topazladder.ticket.Offering.Repeats;
@@ -32,6 +35,7 @@
             "fall-multiple", 8.0, "stay-away", true, "stay-away-most", 1.0, "level-unit", "min_rank"));
     private final Map<String, Ticket> tickets = new LinkedHashMap<>();
     private final Map<Ticket, String> names = new LinkedHashMap<>();
+    private final Set<Ticket> started = new LinkedHashSet<>();
     private final StringBuilder trace = new StringBuilder();
     private Brain brain;
     private double now;
@@ -74,11 +78,38 @@
     }
 
     Desk callEnds(String name, Ending ending) {
-        write("call of " + name + " ends " + ending, brain.callEnded(now, tickets.get(name), ending, 0.1));
+        return callEnds(name, ending, 0.1);
+    }
+
+    Desk callEnds(String name, Ending ending, double took) {
+        write("call of " + name + " ends " + ending, brain.callEnded(now, tickets.get(name), ending, took));
+        return this;
+    }
+
+    /** Plays what only leads up to a scene, and leaves it out of the trace. */
+    Desk quietly(Consumer<Desk> scene) {
+        int length = trace.length();
+        scene.accept(this);
+        trace.setLength(length);
+        return this;
+    }
+
+    /** Two tickets for each that one core finishes, their ranks spread evenly; only what the level does is kept. */
+    Desk flood(double seconds, double run) {
+        for (int i = 0; now < seconds; i++) {
+            String name = "f" + i;
+            double rank = (i * 7 % 20) / 20.0;
+            quietly(d -> d.arrive(name, READ, rank, 0, null).arrive(name + "b", READ, rank, 0, null));
+            until(now + run);
+            for (Ticket running : List.copyOf(started)) {
+                quietly(d -> d.runEnds(names.get(running), Ending.OK));
+            }
+        }
         return this;
     }
 
     Desk runEnds(String name, Ending ending) {
+        started.remove(tickets.get(name));
         write("run of " + name + " ends " + ending, brain.runEnded(now, tickets.get(name), ending, 0.4));
         return this;
     }
@@ -123,6 +154,9 @@
             if (r.what() != What.WAKE) {
                 trace.append("          ").append(text(r)).append('\n');
             }
+            if (r.what() == What.START) {
+                started.add(r.ticket());
+            }
         }
     }
 
