--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -480,9 +480,7 @@
             double before = cut;
             int factor = factor();
             if (factor > below.size()) {
-                // An upper clamp: what ranks above all that wait finds a core at once, so no cut is to reach it.
-                double best = hold.held.stream().mapToDouble(c -> c.ticket.rank()).max().orElse(1);
-                double next = Math.min(median(), best);
+                double next = median();
                 if (next > cut) {
                     below.push(cut);
                     cut = next;
