--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -776,7 +776,7 @@
                 }
                 boolean again = ending.neverRan()
                         || c.offering.repeats() == Repeats.RETRIABLE && ending != Ending.ABANDONED;
-                if (again && (c.offering.poorerShare() == 0 || c.tries < 2)) {
+                if (again && c.offering.poorerShare() == 0) {
                     // Turned away and asked again at once, a few tickets would read the tier below to death.
                     double wait = Math.max(period, callTime.value) * ++c.tries;
                     c.callAgainAt = now + wait * (0.5 + chance.nextDouble());
