Full of fingerprints, say to come back after a tenth of the window

Change: the advice is a tenth of the window, as far as the settings allow, instead of the next expiry.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -316,7 +316,7 @@
             // But fingerprints may not starve what else is to run: what fills the cores is kept free.
             double all = footprint() + term("fingerprint-footprint", 0.0) + memory.working();
             if (all > term("memory", Double.MAX_VALUE) * MEMORY_USED) {
-                defer(c, entries.isEmpty() ? 0 : entries.peek().rememberedUntil - now, false);
+                defer(c, c.offering.window() / 10, false);
                 close(c);
                 return;
             }
