Count parked tickets in the crowd that may come back to the cores

Cause, found by reading: the ceiling counted calls in hand but not tickets parked for one; when what lies below falls, all go on without the call at once. Change: they count too; comments for four mechanisms that had none.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -370,7 +370,7 @@
 
         private final Flow read = new Flow(shortestLimit);
         private Mean waits = new Mean(10);
-        private double illUntil;
+        private double illUntil; // ends by itself: nobody else would tell that it is well again
         private double rest = shortestLimit;
         private boolean good = true;
 
@@ -485,7 +485,7 @@
                     below.push(cut);
                     cut = next;
                 }
-            } else if (factor < 0) {
+            } else if (factor < 0) { // 0 at once, not in steps: idle cores are worse than a jump
                 below.clear();
                 cut = 0;
             } else if (factor < below.size()) {
@@ -600,7 +600,7 @@
         private double bound = term("cores", 1.0);
         /** What else wants a core: readings, checks, new connections. Crowded out they leave it blind. */
         private final Mean others = new Mean(4);
-        private boolean pressed;
+        private boolean pressed; // at every look since the last step, against a lagging gauge
         private double nextLook = 1;
 
         /** Cores that read are not idle, though runs gave way to the readings. */
@@ -617,9 +617,9 @@
 
         boolean room(Case c) {
             double more = c.ticket.footprint() * (term("run-factor", 1.0) - 1);
-            // Tickets at a call come back to the cores by themselves, all at once if they must.
+            // Tickets at a call, or left without one, may all come back to the cores at once.
             return on < bound && on + Math.min(others.value - 1, bound / 2) < bound
-                    && on + calls.inHand < ceiling() && memory.room(more);
+                    && on + calls.inHand + calls.parked.size() < ceiling() && memory.room(more);
         }
 
         @Override void take(Case c) {
@@ -682,7 +682,7 @@
         private int inHand;
         /** How many calls this server means to have in hand on average. */
         private double pace = most() / 4;
-        private final Mean usual = new Mean(40);
+        private final Mean usual = new Mean(40); // in hand without strain: a crowd must not teach it
         /** Call-seconds spent beyond the pace. */
         private double spent;
         private double spentAt;
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -111,4 +111,14 @@
         desk.at(10).arrive("a", READ).arrive("b", ISSUE).arrive("c", READ).wantsCall("a").wantsCall("b")
                 .wantsCall("c").until(12.5).matches("pace");
     }
+
+    @Test
+    void ticketsParkedForACallCountInTheCrowdThatMayComeBack() {
+        Desk desk = new Desk().with("memory", 10000.0).with("cold", true).with("cold-from", 0.2)
+                .with("warm-after", 16.0).with("below", "common").with("calls-share", 0.1).open();
+        for (int i = 0; i < 3; i++) {
+            desk.arrive("r" + i, READ).wantsCall("r" + i);
+        }
+        desk.matches("parked-crowd");
+    }
 }
