Close idle connections at once where callers seldom come back

Callers over the rate of readings tell the mean time until one comes back. Holds against: any crowd of seldom callers. Could hurt: where a handshake costs far more than a place.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -82,6 +82,7 @@
         return at(time, () -> {
             // A check answered from store costs next to nothing; a real one loads cores and what lies below.
             rulings.add(Ruling.health(true));
+
             rulings.add(Ruling.of(What.WAKE, period));
         });
     }
@@ -602,6 +603,7 @@
         private final Mean others = new Mean(4);
         private boolean pressed; // at every look since the last step, against a lagging gauge
         private double nextLook = 1;
+        private boolean keeping = true;
 
         /** Cores that read are not idle, though runs gave way to the readings. */
         boolean idle() {
@@ -622,6 +624,18 @@
                     && on + calls.inHand + calls.parked.size() < ceiling() && memory.room(more);
         }
 
+        /**
+         * An open connection takes from the cores and fills a place; one closed costs the next handshake. Kept
+         * open it pays only where callers come back soon: not where there are so many that each seldom does.
+         */
+        private void connections() {
+            boolean back = term("callers", 0.0) < drain.read.rate() * 2 * shortestLimit;
+            if (back != keeping) {
+                keeping = back;
+                rulings.add(Ruling.of(What.CLOSE_IDLE, keeping ? term("idle-most", 0.0) : period));
+            }
+        }
+
         @Override void take(Case c) {
             c.ran = true;
             c.started = now;
@@ -662,6 +676,7 @@
             }
             pressed = true;
             nextLook = now + 0.5;
+            connections();
         }
     }
 
