Not elsewhere for later tries and while a level is posted

Cause: on the grown deployments a deferral walks on to a dozen servers that post a level too, and each reads it. The share of later tries told this late; the level tells it at once. The mean and its factor of four go. Could hurt: one server in trouble among idle ones posts a level; its deferrals then don't find them.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -240,7 +240,7 @@
      * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all.
      */
     private boolean fullElsewhere(Case c) {
-        return !drain.leaving && (c.ticket.laterTry() || chance.nextDouble() < 4 * laterTries.value);
+        return !drain.leaving && (c.ticket.laterTry() || level.cut > 0);
     }
 
     private void defer(Case c, double stayAway, boolean notElsewhere) {
