Close idle connections only where callers come back later than they may idle

The keepalive itself is the measure: callers over readings a second above it means that no caller finds its connection again. Could hurt: a few heavy callers among many seldom ones pay a handshake for each ticket.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -603,7 +603,7 @@
         private final Mean others = new Mean(4);
         private boolean pressed; // at every look since the last step, against a lagging gauge
         private double nextLook = 1;
-        private boolean keeping = true;
+        private boolean closing;
 
         /** Cores that read are not idle, though runs gave way to the readings. */
         boolean idle() {
@@ -625,14 +625,15 @@
         }
 
         /**
-         * An open connection takes from the cores and fills a place; one closed costs the next handshake. Kept
-         * open it pays only where callers come back soon: not where there are so many that each seldom does.
+         * Where a caller comes back later than its connection may idle, an open one is of no use to it, takes
+         * from the cores and keeps another caller out: then each is closed at once.
          */
         private void connections() {
-            boolean back = term("callers", 0.0) < drain.read.rate() * 2 * shortestLimit;
-            if (back != keeping) {
-                keeping = back;
-                rulings.add(Ruling.of(What.CLOSE_IDLE, keeping ? term("idle-most", 0.0) : period));
+            double longest = term("idle-most", Double.POSITIVE_INFINITY);
+            boolean seldom = term("callers", 0.0) > drain.read.rate() * longest;
+            if (seldom != closing) {
+                closing = seldom;
+                rulings.add(Ruling.of(What.CLOSE_IDLE, closing ? period : longest));
             }
         }
 
