Keep connections open where newcomers crowd the cores, until cores idle again

A table that fills refuses for nothing. So two states that hold: closed once cores were idle, kept once newcomers crowd. Holds against: any flood of new connections. Could hurt: a flood of short length fills the table for longer than it lasts.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -604,6 +604,8 @@
         private boolean pressed; // at every look since the last step, against a lagging gauge
         private double nextLook = 1;
         private boolean closing;
+        private final Mean newcomers = new Mean(4);
+        private final Mean used = new Mean(10);
 
         /** Cores that read are not idle, though runs gave way to the readings. */
         boolean idle() {
@@ -625,14 +627,18 @@
         }
 
         /**
-         * Where a caller comes back later than its connection may idle, an open one is of no use to it, takes
-         * from the cores and keeps another caller out: then each is closed at once.
+         * Callers so many that each comes back later than its connection may idle: kept, it is of no use to it
+         * and keeps another out while cores idle, so each is closed at once. But where new connections crowd the
+         * cores, a table that fills turns callers away for nothing, and stays that way until cores idle again.
          */
         private void connections() {
             double longest = term("idle-most", Double.POSITIVE_INFINITY);
             boolean seldom = term("callers", 0.0) > drain.read.rate() * longest;
-            if (seldom != closing) {
-                closing = seldom;
+            used.add(gauges.getOrDefault("core-use", 1.0));
+            newcomers.add(others.value);
+            boolean close = newcomers.value <= 2 * term("cores", 1.0) && (closing || seldom && used.value < 0.7);
+            if (close != closing) {
+                closing = close;
                 rulings.add(Ruling.of(What.CLOSE_IDLE, closing ? period : longest));
             }
         }
