--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -636,7 +636,7 @@
             boolean seldom = term("callers", 0.0) > drain.read.rate() * longest;
             used.add(gauges.getOrDefault("core-use", 1.0));
             newcomers.add(others.value);
-            boolean close = newcomers.value <= 2 * term("cores", 1.0) && (closing || seldom && used.value < 0.6);
+            boolean close = seldom && newcomers.value <= 2 * term("cores", 1.0) && (closing || used.value < 0.6);
             if (close != closing) {
                 closing = close;
                 rulings.add(Ruling.of(What.CLOSE_IDLE, closing ? period : longest));
