--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -38,12 +38,9 @@
     private final RandomGenerator chance;
     private final Map<String, Object> terms;
     private final List<Ruling> rulings = new ArrayList<>();
-    /** All in hand; emptied by their endings. */
-    private final Map<Ticket, Case> open = new LinkedHashMap<>();
-    /** Ended without having run at this very moment; emptied when time moves on. */
-    private final Set<Ticket> unrunNow = new HashSet<>();
-    /** One for each offering in the terms. */
-    private final Map<Offering, Mean> runTimes = new LinkedHashMap<>();
+    private final Map<Ticket, Case> open = new LinkedHashMap<>(); // all in hand; emptied by their endings
+    private final Set<Ticket> unrunNow = new HashSet<>(); // ended unrun just now; emptied as time goes on
+    private final Map<Offering, Mean> runTimes = new LinkedHashMap<>(); // one for each offering in the terms
     private final Repeating repeats;
     private final Draining drain;
     private final Memory memory;
@@ -56,7 +53,7 @@
     private final double shortestLimit;
     private double now;
     private final Flow finished;
-    private final Mean laterTries = new Mean(10);
+    private final Mean laterTries = new Mean(40);
     private Map<String, Double> gauges = Map.of();
 
     public Brain(RandomGenerator chance, Map<String, Object> terms) {
@@ -164,20 +161,16 @@
         final Offering offering;
         final double arrived;
         final double due;
-        /** Past this nothing is earned any more. */
-        final double useful;
+        final double useful; // past this nothing is earned any more
         Place place = Place.HELD;
         boolean ran;
-        /** Its final answer is given, or nobody waits for one. */
-        boolean answered;
+        boolean answered; // its final answer is given, or nobody waits for one
         double started;
         double waitingSince;
         double callAgainAt;
         int tries;
-        /** The repeats that wait for its end, and go with it. */
-        final List<Case> followers = new ArrayList<>(0);
-        /** When its fingerprint is forgotten; 0 if it is not remembered. */
-        double rememberedUntil;
+        final List<Case> followers = new ArrayList<>(0); // the repeats that wait for its end, and go with it
+        double rememberedUntil; // 0 if its fingerprint is not remembered
 
         Case(Ticket ticket) {
             this.ticket = ticket;
@@ -237,10 +230,11 @@
 
     /**
      * Whether another server would hardly take it either, as far as those that come were turned away before.
-     * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all.
+     * Each further try costs a reading somewhere: where all are full, walking on makes it worse for all. A
+     * tenth of later tries is sign enough; counted over less than forty it would be luck on a small server.
      */
     private boolean fullElsewhere(Case c) {
-        return !drain.leaving && (c.ticket.laterTry() || level.cut > 0);
+        return !drain.leaving && (c.ticket.laterTry() || chance.nextDouble() < 10 * laterTries.value);
     }
 
     private void defer(Case c, double stayAway, boolean notElsewhere) {
@@ -315,7 +309,8 @@
         private void takeNew(Case c) {
             // Run unremembered it could run twice; a window too long for the memory costs tickets instead.
             // But fingerprints may not starve what else is to run: what fills the cores is kept free.
-            double all = footprint() + term("fingerprint-footprint", 0.0) + memory.working();
+            double fill = term("cores", 1.0) * memory.footprints.value * term("run-factor", 1.0);
+            double all = footprint() + term("fingerprint-footprint", 0.0) + Math.max(memory.taken, fill);
             if (all > term("memory", Double.MAX_VALUE) * MEMORY_USED) {
                 defer(c, c.offering.window() / 10, false);
                 close(c);
@@ -372,7 +367,6 @@
         private final Flow read = new Flow(shortestLimit);
         private Mean waits = new Mean(10);
         private double illUntil; // ends by itself: nobody else would tell that it is well again
-        private double rest = shortestLimit;
         private boolean good = true;
 
         void begin(double left) {
@@ -384,13 +378,12 @@
 
         /**
          * A server so slow that reading alone fills its cores answers nearly nothing in time: it calls itself
-         * ill, longer each time it falls back. Not so in a crowd that all share: those still honour some.
+         * ill for a while. Not so in a crowd that all share: those still honour some.
          */
-        private void health() {
+        @Override void tend() {
             boolean late = waits.seen == waits.most && waits.value > shortestLimit / 2;
             if (late && finished.rate() < read.rate() / 10 && now > illUntil) {
-                illUntil = now + rest;
-                rest = Math.min(2 * rest, 4 * shortestLimit);
+                illUntil = now + 2 * shortestLimit;
             }
             // Only what is read after a rest tells how it is now.
             if (now <= illUntil) {
@@ -420,10 +413,6 @@
         boolean tooLate(Case c) {
             return c.arrived > graceEnds || now + runTimes.get(c.offering).value >= lastAnswer();
         }
-
-        @Override void tend() {
-            health();
-        }
     }
 
     // ---- Memory: held, running and remembered together
@@ -432,11 +421,6 @@
         private final Mean footprints = new Mean(10);
         private double taken;
 
-        /** What the tickets in hand need, or would with the cores well filled. */
-        double working() {
-            return Math.max(taken, term("cores", 1.0) * footprints.value * term("run-factor", 1.0));
-        }
-
         boolean room(double more) {
             return taken + repeats.footprint() + more <= term("memory", Double.MAX_VALUE) * MEMORY_USED;
         }
@@ -530,9 +514,8 @@
     // ---- The hold: what waits for a core, and for how long that pays
 
     private final class Hold extends Stage {
-        /** In order of arrival here; emptied by starts and endings. */
-        private final List<Case> held = new ArrayList<>();
-        private double fullSince = Double.POSITIVE_INFINITY;
+        private final List<Case> held = new ArrayList<>(); // by arrival; emptied by starts and endings
+        private double fullFrom = Double.POSITIVE_INFINITY;
 
         @Override void take(Case c) {
             held.add(c);
@@ -557,7 +540,7 @@
                 return a.offering.payoff() < b.offering.payoff();
             }
             // Newest first once the hold has stood full for a while: the oldest would all come too late.
-            return now - fullSince > shortestLimit ? a.arrived < b.arrived : a.arrived > b.arrived;
+            return now - fullFrom > shortestLimit ? a.arrived < b.arrived : a.arrived > b.arrived;
         }
 
         void pull() {
@@ -573,9 +556,8 @@
 
         /** Seconds until the hold is back at its target. */
         double drainTime() {
-            double outgoing = finished.rate();
-            double above = Math.max(0, held.size() - level.target());
-            return outgoing <= 0 || drain.leaving ? shortestLimit : above / outgoing;
+            double rate = drain.leaving ? 0 : finished.rate();
+            return rate <= 0 ? shortestLimit : Math.max(0, held.size() - level.target()) / rate;
         }
 
         @Override void back(Case c) {
@@ -588,8 +570,7 @@
                     giveUp(c);
                 }
             }
-            boolean full = held.size() >= 2 * level.target();
-            fullSince = full ? Math.min(fullSince, now) : Double.POSITIVE_INFINITY;
+            fullFrom = held.size() >= 2 * level.target() ? Math.min(fullFrom, now) : Double.POSITIVE_INFINITY;
             pull();
         }
     }
@@ -627,16 +608,15 @@
         }
 
         /**
-         * Callers so many that each comes back later than its connection may idle: kept, it is of no use to it
-         * and keeps another out while cores idle, so each is closed at once. But where new connections crowd the
-         * cores, a table that fills turns callers away for nothing, and stays that way until cores idle again.
+         * Callers who come back later than a connection may idle never use it again: closed where cores idle,
+         * it makes room. Where newcomers crowd the cores, a table that fills turns callers away for nothing.
          */
         private void connections() {
             double longest = term("idle-most", Double.POSITIVE_INFINITY);
-            boolean seldom = term("callers", 0.0) > drain.read.rate() * longest;
             used.add(gauges.getOrDefault("core-use", 1.0));
             newcomers.add(others.value);
-            boolean close = seldom && newcomers.value <= 2 * term("cores", 1.0) && (closing || used.value < 0.6);
+            boolean close = term("callers", 0.0) > drain.read.rate() * longest
+                    && newcomers.value <= 2 * term("cores", 1.0) && (closing || used.value < 0.6);
             if (close != closing) {
                 closing = close;
                 rulings.add(Ruling.of(What.CLOSE_IDLE, closing ? period : longest));
@@ -702,11 +682,9 @@
         /** How many times the quickest recent calls took; capped, or one that hung would count for thirty. */
         private final Mean strain = new Mean(10);
         private int inHand;
-        /** How many calls this server means to have in hand on average. */
-        private double pace = most() / 4;
+        private double pace = most() / 4; // calls this server means to have in hand on average
         private final Mean usual = new Mean(40); // in hand without strain: a crowd must not teach it
-        /** Call-seconds spent beyond the pace. */
-        private double spent;
+        private double spent; // call-seconds beyond the pace
         private double spentAt;
 
         @Override void take(Case c) {
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -121,4 +121,15 @@
         }
         desk.matches("parked-crowd");
     }
+
+    @Test
+    void connectionsOfSeldomCallersAreClosedWhileCoresIdleAndKeptWhileNewcomersCrowd() {
+        Desk desk = new Desk().with("callers", 100.0).with("idle-most", 30.0).open();
+        for (int i = 0; i < 16; i++) {
+            desk.until(i * 0.5).quietly(d -> d.arrive("a", READ).runEnds("a", Ending.OK));
+        }
+        desk.gauge("core-use", 0.3).until(13);
+        desk.gauge("on-cores", 9).until(16);
+        desk.gauge("on-cores", 0).until(24).matches("connections");
+    }
 }
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -37,6 +37,7 @@
     private final Map<Ticket, String> names = new LinkedHashMap<>();
     private final Set<Ticket> started = new LinkedHashSet<>();
     private final StringBuilder trace = new StringBuilder();
+    private final Map<String, Double> gauges = new LinkedHashMap<>(Map.of("core-use", 1.0));
     private Brain brain;
     private double now;
 
@@ -52,6 +53,11 @@
         return this;
     }
 
+    Desk gauge(String name, double value) {
+        gauges.put(name, value);
+        return this;
+    }
+
     Desk at(double time) {
         now = time;
         return this;
@@ -128,7 +134,7 @@
     Desk until(double time) {
         while (now + 0.1 <= time + 1e-9) {
             now += 0.1;
-            List<Ruling> rulings = brain.timer(now, Map.of("core-use", 1.0));
+            List<Ruling> rulings = brain.timer(now, gauges);
             if (rulings.size() > 1) {
                 write("timer", rulings);
             }
@@ -168,6 +174,7 @@
                     + (r.yes() ? ", not elsewhere" : "");
             case CALL, REMEMBER -> " for " + seconds(r.number());
             case POST -> String.format(Locale.ROOT, " %.3f", r.number());
+            case CLOSE_IDLE -> " after " + seconds(r.number());
             case HEALTH -> r.yes() ? " good" : " bad";
             case NOTE -> " " + r.text();
             default -> "";
