End an ill server's rest as soon as its cores idle

Holds against: any illness that all share. Could hurt: a server that idles because its work hangs comes back too early and calls itself ill again.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -366,7 +366,7 @@
 
         private final Flow read = new Flow(shortestLimit);
         private Mean waits = new Mean(10);
-        private double illUntil; // ends by itself: nobody else would tell that it is well again
+        private double illUntil; // ends by itself: nobody else would tell
         private boolean good = true;
 
         void begin(double left) {
@@ -384,11 +384,11 @@
             boolean late = waits.seen == waits.most && waits.value > shortestLimit / 2;
             if (late && finished.rate() < read.rate() / 10 && now > illUntil) {
                 illUntil = now + 2 * shortestLimit;
+            } else if (gauges.getOrDefault("core-use", 1.0) < 0.5) {
+                illUntil = Math.min(illUntil, now); // rested: where all are ill the idle ones must come back
             }
             // Only what is read after a rest tells how it is now.
-            if (now <= illUntil) {
-                waits = new Mean(10);
-            }
+            waits = now <= illUntil ? new Mean(10) : waits;
             if (good != now > illUntil && !leaving) {
                 good = !good;
                 rulings.add(Ruling.health(good));
