Take out illness: it earns nothing measurable any more

Where all are late it sent callers to others as late, and where nobody asks it told nobody. Could hurt: one server that crawls while callers go by health keeps its callers.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -363,11 +363,8 @@
         private double graceEnds = Double.POSITIVE_INFINITY;
         private double stop = Double.POSITIVE_INFINITY;
         private boolean leaving;
-
         private final Flow read = new Flow(shortestLimit);
-        private Mean waits = new Mean(10);
-        private double illUntil; // ends by itself: nobody else would tell
-        private boolean good = true;
+        private final Mean waits = new Mean(10);
 
         void begin(double left) {
             graceEnds = now + term("drain-grace", 0.0);
@@ -376,25 +373,6 @@
             rulings.add(Ruling.health(false));
         }
 
-        /**
-         * A server so slow that reading alone fills its cores answers nearly nothing in time: it calls itself
-         * ill for a while. Not so in a crowd that all share: those still honour some.
-         */
-        @Override void tend() {
-            boolean late = waits.seen == waits.most && waits.value > shortestLimit / 2;
-            if (late && finished.rate() < read.rate() / 10 && now > illUntil) {
-                illUntil = now + 2 * shortestLimit;
-            } else if (gauges.getOrDefault("core-use", 1.0) < 0.5) {
-                illUntil = Math.min(illUntil, now); // rested: where all are ill the idle ones must come back
-            }
-            // Only what is read after a rest tells how it is now.
-            waits = now <= illUntil ? new Mean(10) : waits;
-            if (good != now > illUntil && !leaving) {
-                good = !good;
-                rulings.add(Ruling.health(good));
-            }
-        }
-
         double lastAnswer() {
             // Two periods: the timer may come a batch late, and the answer must still get out.
             return stop - 2 * period;
