--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -589,8 +589,8 @@
         /**
          * Callers who come back later than a connection may idle never use it again: closed where cores idle,
          * it makes room. Where newcomers crowd the cores, a table that fills turns callers away for nothing.
-         * The two bounds lie apart, as changing costs both a handshake and a place: ten looks under 0.6 are more
-         * than a lull, and two newcomers a core more than a reading and a handshake on each.
+         * The bounds lie apart, as changing costs both a handshake and a place: ten looks under 0.6 are more than
+         * a lull, and two newcomers a core more than a reading and a handshake on each.
          */
         private void connections() {
             double longest = term("idle-most", Double.POSITIVE_INFINITY);
@@ -682,8 +682,8 @@
 
         /**
          * The share is what kills. What serves best is what is used while calls take what they need, or less
-         * by how much longer they take. It follows at once: a cut that stayed would waste what is below. Three
-         * times the usual leaves room for luck; a sixteenth still finds out that a crowd below is over.
+         * by how much longer they take. It follows at once: a cut that stayed would waste what is below.
+         * Three times the usual leaves room for luck; a sixteenth still finds out that a crowd below is over.
          */
         private void follow(double times) {
             strain.add(Math.min(4, times));
@@ -696,8 +696,8 @@
         }
 
         /**
-         * Calls that can be left out stop at half the burst, so that those that can't find room. A quarter of the
-         * span's worth spent ahead stays clear of the share, which is averaged over that span by others.
+         * Calls that can be left out stop at half the burst, so that those that can't find room. A quarter of
+         * the span's worth spent ahead stays clear of the share, which is averaged over that span by others.
          */
         private boolean allowed(Case c) {
             if (pace == Double.POSITIVE_INFINITY) {
