--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -589,8 +589,8 @@
         /**
          * Callers who come back later than a connection may idle never use it again: closed where cores idle,
          * it makes room. Where newcomers crowd the cores, a table that fills turns callers away for nothing.
-         * The bounds lie apart, as changing costs both a handshake and a place: ten looks under 0.6 are more than
-         * a lull, and two newcomers a core more than a reading and a handshake on each.
+         * The bounds lie apart, as a change costs both a handshake and a place: ten looks under 0.6 are
+         * more than a lull, and two newcomers a core more than a reading and a handshake on each.
          */
         private void connections() {
             double longest = term("idle-most", Double.POSITIVE_INFINITY);
