--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -312,6 +312,7 @@
             double fill = term("cores", 1.0) * memory.footprints.value * term("run-factor", 1.0);
             double all = footprint() + term("fingerprint-footprint", 0.0) + Math.max(memory.taken, fill);
             if (all > term("memory", Double.MAX_VALUE) * MEMORY_USED) {
+                // Entries go with their window, not with the load: a tenth of it frees room for some.
                 defer(c, c.offering.window() / 10, false);
                 close(c);
                 return;
@@ -388,6 +389,7 @@
             }
         }
 
+        /** Also what could not end before the stop: run all the same, it would have to be broken off. */
         boolean tooLate(Case c) {
             return c.arrived > graceEnds || now + runTimes.get(c.offering).value >= lastAnswer();
         }
@@ -405,6 +407,7 @@
 
         @Override void take(Case c) {
             footprints.add(c.ticket.footprint());
+            // What was read takes memory already: turned away here, it frees it before anything is held.
             if (room(0)) {
                 level.take(c);
             } else {
@@ -514,6 +517,7 @@
 
         /** Whether a starts after b. */
         private boolean after(Case a, Case b) {
+            // By payoff first, against a flood of cheap tickets that came before the dear ones.
             if (a.offering.payoff() != b.offering.payoff()) {
                 return a.offering.payoff() < b.offering.payoff();
             }
@@ -532,7 +536,7 @@
             }
         }
 
-        /** Seconds until the hold is back at its target. */
+        /** Seconds until the hold is back at its target: sooner, the caller would only be deferred again. */
         double drainTime() {
             double rate = drain.leaving ? 0 : finished.rate();
             return rate <= 0 ? shortestLimit : Math.max(0, held.size() - level.target()) / rate;
@@ -707,6 +711,7 @@
             spentAt = now;
             double burst = pace * term("calls-span", 5.0) / (c.offering.poorerShare() > 0 ? 8 : 4);
             // With nothing spent one call is made, or what was slow would never be known to have recovered.
+            // The second bound acts in a burst, before call-seconds have added up: both are needed.
             return spent + Math.min(callTime.value, burst) <= burst
                     && inHand + lingering.size() < Math.max(1, 4 * pace);
         }
@@ -750,7 +755,7 @@
                 follow(elapsed / quickest);
                 cores.resume(c);
             } else {
-                follow(4);
+                follow(4); // a failure tells of a crowd below as the longest call does
                 if (ending == Ending.ABANDONED) {
                     lingering.add(now + term("call-lingers", 0.0));
                     callTime.add(elapsed);
