--- a/src/main/java/topazladder/Main.java
+++ b/src/main/java/topazladder/Main.java
@@ -1,6 +1,9 @@
 package topazladder;
 
 import java.io.IOException;
+import topazladder.config.BadTerms;
+import topazladder.config.ServiceTerms;
+import topazladder.net.Service;
 import topazladder.wire.MalformedWire;
 import topazladder.wire.WireHost;
 
@@ -11,13 +14,30 @@
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: topazladder wirehost");
+        switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> serve();
+            case "wirehost" -> wirehost();
+            default -> {
+                System.err.println("usage: topazladder serve | wirehost");
+                System.exit(2);
+            }
+        }
+    }
+
+    /** Returns while the event loop goes on; the instance ends the process. */
+    private static void serve() {
+        try {
+            new Service(ServiceTerms.read(System.getenv())).start();
+        } catch (BadTerms e) {
+            System.err.println("serve: " + e.getMessage());
             System.exit(2);
         }
+    }
+
+    private static void wirehost() throws IOException {
         try {
             new WireHost(System.in, System.out).run();
-        } catch (MalformedWire e) {
+        } catch (MalformedWire | BadTerms e) {
             System.err.println("wirehost: " + e.getMessage());
             System.exit(1);
         }
--- /dev/null
+++ b/src/main/java/topazladder/config/ServiceTerms.java
@@ -0,0 +1,151 @@
+package topazladder.config;
+
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * All that a real service instance is told at its start: the one place where the environment and the
+ * configuration file are read, checked and given defaults.
+ *
+ * @param name what the control plane and the logs call it
+ * @param listen where callers connect
+ * @param runtime where its work is done
+ * @param control where it reports that it lives
+ * @param index where its calls go, or null in the last tier
+ * @param seed of its chance
+ * @param stopAfter seconds from the notice to leave to the kill
+ * @param sockets descriptors it may hold
+ * @param terms what the module is handed
+ */
+public record ServiceTerms(String name, Address listen, Address runtime, Address control, Address index,
+                           long seed, double stopAfter, int sockets, Terms terms) {
+
+    /** A numeric address: there are no names to resolve. */
+    public record Address(String host, int port) {
+    }
+
+    public static ServiceTerms read(Map<String, String> environment) {
+        String path = environment.get("GW_CONFIG");
+        if (path == null || path.isBlank()) {
+            throw new BadTerms("GW_CONFIG is missing; expected the path of the configuration file");
+        }
+        try {
+            return of(Files.readString(Path.of(path)), environment);
+        } catch (IOException e) {
+            throw new BadTerms("GW_CONFIG: the file can't be read: " + path);
+        }
+    }
+
+    /** GW_NAME and GW_LISTEN go before the file's own name and listen. */
+    public static ServiceTerms of(String text, Map<String, String> environment) {
+        JsonObject json;
+        try {
+            json = new JsonObject(text);
+        } catch (DecodeException e) {
+            throw new BadTerms("GW_CONFIG: the file should hold one JSON object");
+        }
+        String name = environment.containsKey("GW_NAME") ? environment.get("GW_NAME") : word(json, "name", null);
+        if (name.isEmpty() || name.chars().anyMatch(c -> c <= ' ')) {
+            throw new BadTerms("name (GW_NAME) should be one word: '" + name + "'");
+        }
+        String listen = environment.get("GW_LISTEN");
+        JsonObject limits = object(json, "limits", new JsonObject());
+        Map<String, String> settings = new LinkedHashMap<>();
+        flatten("", object(json, "settings", null), settings);
+        return new ServiceTerms(name,
+                listen == null ? address("listen", word(json, "listen", null)) : address("GW_LISTEN", listen),
+                address("runtime", word(json, "runtime", null)),
+                address("control", word(json, "control", null)),
+                json.getValue("index") == null ? null : address("index", word(json, "index", null)),
+                seed(word(json, "seed", "0")),
+                number(json, "stop_ms", null, 0) / 1000,
+                (int) number(limits, "sockets", 1024, 1),
+                settings(settings));
+    }
+
+    private static Terms settings(Map<String, String> settings) {
+        try {
+            return new Terms(settings);
+        } catch (BadTerms e) {
+            throw new BadTerms("settings." + e.getMessage());
+        }
+    }
+
+    private static void flatten(String at, JsonObject json, Map<String, String> settings) {
+        json.forEach(entry -> flatten(at + entry.getKey(), entry.getValue(), settings));
+    }
+
+    private static void flatten(String at, Object value, Map<String, String> settings) {
+        if (value instanceof JsonObject object) {
+            flatten(at + ".", object, settings);
+        } else if (value instanceof JsonArray array && array.stream().anyMatch(JsonObject.class::isInstance)) {
+            settings.put(at + ".count", String.valueOf(array.size()));
+            for (int i = 0; i < array.size(); i++) {
+                flatten(at + "." + i, array.getValue(i), settings);
+            }
+        } else if (value instanceof JsonArray array) {
+            settings.put(at, array.stream().map(String::valueOf).collect(Collectors.joining(",")));
+        } else if (value != null) {
+            settings.put(at, value.toString());
+        }
+    }
+
+    private static JsonObject object(JsonObject json, String key, JsonObject other) {
+        Object value = json.getValue(key);
+        if (value == null && other != null) {
+            return other;
+        }
+        if (value instanceof JsonObject object) {
+            return object;
+        }
+        throw new BadTerms(key + (value == null ? " is missing" : " should be an object: " + value));
+    }
+
+    private static String word(JsonObject json, String key, String other) {
+        Object value = json.getValue(key);
+        if (value == null && other != null) {
+            return other;
+        }
+        if (value instanceof String word) {
+            return word;
+        }
+        throw new BadTerms(key + (value == null ? " is missing" : " should be text: " + value));
+    }
+
+    private static double number(JsonObject json, String key, Number other, double least) {
+        Object value = json.getValue(key) == null ? other : json.getValue(key);
+        if (value instanceof Number n && n.doubleValue() >= least) {
+            return n.doubleValue();
+        }
+        throw new BadTerms(key + (value == null ? " is missing"
+                : " should be a number of at least " + (long) least + ": " + value));
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new BadTerms("seed should be at most 16 hex digits: " + text);
+        }
+    }
+
+    private static Address address(String key, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65536) {
+                return new Address(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // Told below, as any other fault of an address is.
+        }
+        throw new BadTerms(key + " should be an address and a port such as 127.0.0.1:4100: " + text);
+    }
+}
--- a/src/main/java/topazladder/wire/Terms.java
+++ b/src/main/java/topazladder/config/Terms.java
@@ -1,4 +1,4 @@
-package topazladder.wire;
+package topazladder.config;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -8,9 +8,12 @@
 import topazladder.ticket.Customer;
 import topazladder.ticket.Offering;
 
-/** Turns the start-up lines of the wire into the module's map of terms: its names, in seconds. */
-final class Terms {
-    /** Wire path to the module's name; what the module has no name for is ignored. */
+/**
+ * Turns the settings that an instance is handed, on the simulator's wire or in its configuration, into the
+ * module's map of terms: its names, in seconds. The one place that knows both.
+ */
+public final class Terms {
+    /** Path in the settings to the module's name; what the module has no name for is ignored. */
     private static final Map<String, String> NAMES = names(
             "Extra.Cores", "cores",
             "Extra.MemoryKb", "memory",
@@ -47,21 +50,29 @@
             "heap_share", "memory-share",
             "links", "connections");
 
-    private final Map<String, String> lines = new LinkedHashMap<>();
-    final List<Offering> offerings = new ArrayList<>();
-    final List<Customer> customers = new ArrayList<>();
-    final List<String> gauges;
-    final Map<String, Object> map = new LinkedHashMap<>();
+    private final Map<String, String> lines;
+    private final List<Offering> offerings = new ArrayList<>();
+    private final List<Customer> customers = new ArrayList<>();
+    private final List<String> gauges;
+    private final Map<String, Object> map = new LinkedHashMap<>();
 
-    Terms(String text) {
+    /** From lines of path=value, as the simulator sends them. */
+    public static Terms ofLines(String text) {
+        Map<String, String> lines = new LinkedHashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 lines.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
             } else if (!line.isBlank()) {
-                throw new MalformedWire("start-up line without '=': " + line);
+                throw new BadTerms("start-up line without '=': " + line);
             }
         }
+        return new Terms(lines);
+    }
+
+    /** From values by path: the items of a list under .0, .1 and so on, their number under .count. */
+    public Terms(Map<String, String> settings) {
+        lines = settings;
         String names = lines.getOrDefault("Extra.OwnStats", "");
         gauges = Arrays.stream(names.split(",")).map(g -> GAUGES.getOrDefault(g, g)).toList();
         required("Extra.Cores");
@@ -78,6 +89,24 @@
         map.put("customers", List.copyOf(customers));
     }
 
+    /** What the module is handed. */
+    public Map<String, Object> map() {
+        return map;
+    }
+
+    public List<Offering> offerings() {
+        return offerings;
+    }
+
+    public List<Customer> customers() {
+        return customers;
+    }
+
+    /** The names of a server's gauges, in the order in which their values come. */
+    public List<String> gauges() {
+        return gauges;
+    }
+
     private void readOfferings() {
         int count = (int) required("Classes.count");
         String[] calls = lines.getOrDefault("Extra.CallsByClass", "").split(",");
@@ -106,20 +135,20 @@
     private Offering.Repeats repeats(String path) {
         String value = lines.get(path);
         if (value == null) {
-            throw new MalformedWire("start-up setting missing: " + path);
+            throw new BadTerms(path + " is missing");
         }
         return switch (value) {
             case "safe" -> Offering.Repeats.RETRIABLE;
             case "keyed" -> Offering.Repeats.FINGERPRINTED;
             case "unsafe" -> Offering.Repeats.BINDING;
-            default -> throw new MalformedWire("start-up setting " + path + " is no kind of effect: " + value);
+            default -> throw new BadTerms(path + " should be safe, keyed or unsafe: " + value);
         };
     }
 
     private double required(String path) {
         String value = lines.get(path);
         if (value == null) {
-            throw new MalformedWire("start-up setting missing: " + path);
+            throw new BadTerms(path + " is missing");
         }
         return number(path, value);
     }
@@ -134,7 +163,7 @@
         try {
             n = Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new MalformedWire("start-up setting " + path + " is no number: " + value);
+            throw new BadTerms(path + " should be a number: " + value);
         }
         return path.endsWith("Ns") ? n / 1e9 : n;
     }
--- /dev/null
+++ b/src/main/java/topazladder/net/CallerServer.java
@@ -0,0 +1,84 @@
+package topazladder.net;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import topazladder.config.ServiceTerms.Address;
+import topazladder.service.Callers;
+import topazladder.service.Counters;
+import topazladder.service.Counters.Count;
+import topazladder.service.Exchange;
+
+/** Listens for callers and keeps their connections. */
+final class CallerServer implements Callers {
+    /** Looks for idle connections no more often than this, however short they may idle. */
+    private static final long LEAST_SWEEP_MS = 100;
+
+    private final Vertx vertx;
+    private final Counters counters;
+    private final int most;
+    private final NetServer server;
+    /** One a connection; emptied as they close. */
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private Exchange exchange;
+    private double idle = Double.POSITIVE_INFINITY;
+    private boolean lastCall;
+
+    /** @param most connections at once: the rest of the descriptors is for the other sockets and files */
+    CallerServer(Vertx vertx, int most, Counters counters) {
+        this.vertx = vertx;
+        this.most = most;
+        this.counters = counters;
+        server = vertx.createNetServer(new NetServerOptions().setReuseAddress(true).setTcpNoDelay(true)
+                .setAcceptBacklog(1024));
+    }
+
+    Future<NetServer> listen(Address at, Exchange exchange) {
+        this.exchange = exchange;
+        vertx.setPeriodic(LEAST_SWEEP_MS, id -> sweep());
+        return server.connectHandler(this::connected).listen(at.port(), at.host());
+    }
+
+    private void connected(NetSocket socket) {
+        if (connections.size() >= most) {
+            socket.close();
+            return;
+        }
+        counters.add(Count.CONNECTIONS_TAKEN);
+        CallerConnection c = new CallerConnection(socket, exchange, counters, this::closed);
+        connections.add(c);
+        if (lastCall) {
+            c.lastCall();
+        }
+    }
+
+    private void closed(CallerConnection c) {
+        connections.remove(c);
+    }
+
+    @Override public void closeIdle(double seconds) {
+        idle = seconds;
+    }
+
+    private void sweep() {
+        if (idle < Double.POSITIVE_INFINITY) {
+            List.copyOf(connections).forEach(c -> c.closeIfIdle(idle));
+        }
+    }
+
+    @Override public void lastCall() {
+        lastCall = true;
+        server.close();
+        new ArrayList<>(connections).forEach(CallerConnection::lastCall);
+    }
+
+    @Override public int connections() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -0,0 +1,201 @@
+package topazladder.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazladder.config.ServiceTerms.Address;
+import topazladder.net.codec.LineReader;
+import topazladder.net.codec.Malformed;
+import topazladder.net.codec.RuntimeLines;
+import topazladder.net.codec.RuntimeLines.Ended;
+import topazladder.net.codec.RuntimeLines.Load;
+import topazladder.net.codec.RuntimeLines.Nack;
+import topazladder.net.codec.RuntimeLines.Notice;
+import topazladder.net.codec.RuntimeLines.Ready;
+import topazladder.net.codec.RuntimeLines.Verdict;
+import topazladder.net.codec.RuntimeLines.Wants;
+import topazladder.service.Counters;
+import topazladder.service.Counters.Count;
+import topazladder.service.Exchange;
+import topazladder.service.Instance;
+import topazladder.service.Runtime;
+
+/** The link to the runtime: taken anew whenever it is lost, with nothing lost or doubled. */
+final class RuntimeLink implements Runtime {
+    private static final Logger LOG = LoggerFactory.getLogger(RuntimeLink.class);
+
+    private final Vertx vertx;
+    private final Address address;
+    private final Counters counters;
+    private final NetClient client;
+    private final Backoff backoff = new Backoff();
+    private final Unacknowledged unacknowledged = new Unacknowledged();
+    private Exchange exchange;
+    private Instance instance;
+    private NetSocket socket; // null while there is no link
+    private LineReader reader;
+    private long lastNotice;
+    private boolean caughtUp; // all notices of before are read, so that commands may be given
+    private boolean over;
+
+    RuntimeLink(Vertx vertx, Address address, Counters counters) {
+        this.vertx = vertx;
+        this.address = address;
+        this.counters = counters;
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(1000));
+    }
+
+    void open(Exchange exchange, Instance instance) {
+        this.exchange = exchange;
+        this.instance = instance;
+        connect();
+    }
+
+    void close() {
+        over = true;
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
+    private void connect() {
+        client.connect(address.port(), address.host()).onComplete(this::connected, e -> again());
+    }
+
+    private void connected(NetSocket s) {
+        socket = s;
+        caughtUp = false;
+        reader = RuntimeLines.reader();
+        s.handler(more -> read(s, more));
+        s.exceptionHandler(e -> s.close());
+        s.closeHandler(v -> lost(s));
+        write(RuntimeLines.sync(lastNotice));
+    }
+
+    private void lost(NetSocket s) {
+        if (socket == s) {
+            socket = null;
+            if (!over) {
+                counters.add(Count.LINKS_LOST);
+                LOG.warn("the link to the runtime is lost after notice {}", lastNotice);
+            }
+            again();
+        }
+    }
+
+    private void again() {
+        if (!over) {
+            vertx.setTimer(backoff.next(), id -> connect());
+        }
+    }
+
+    private void read(NetSocket from, Buffer more) {
+        try {
+            reader.feed(more.getBytes());
+            for (LineReader.Line l = reader.next(); l != null && socket == from; l = reader.next()) {
+                take(RuntimeLines.notice(l));
+            }
+        } catch (Malformed e) {
+            counters.add(Count.LINES_UNREADABLE);
+            LOG.warn("the runtime sent what can't be read: {}", e.getMessage());
+            from.close();
+        }
+    }
+
+    private void take(Notice notice) {
+        if (notice instanceof Ready ready) {
+            backoff.reset();
+            LOG.info("the runtime is up since {} s, {}", ready.secondsAgo(), ready.loaded() ? "loaded" : "empty");
+            // The answer to a question comes after all notices of before; only then is it known what ran.
+            write(RuntimeLines.gauges("c" + unacknowledged.last()));
+            instance.runtimeUp(!ready.loaded(), ready.secondsAgo());
+        } else if (notice instanceof Load load) {
+            load(load);
+        } else if (notice instanceof Ended e) {
+            if (isNew(e.number())) {
+                unacknowledged.heardOf(e.ref());
+                exchange.runEnded(e.ref(), e.how(), e.elapsed(), e.result());
+            }
+        } else if (notice instanceof Wants w) {
+            if (isNew(w.number())) {
+                unacknowledged.heardOf(w.ref());
+                exchange.callWanted(w.ref(), w.number(), w.body());
+            }
+        } else if (notice instanceof Verdict v) {
+            exchange.verdict(tag(v.tag()), v.passed());
+        } else if (notice instanceof Nack n) {
+            unacknowledged.heardOf(n.ref());
+            if (n.command().equals("start")) {
+                exchange.notStarted(n.ref());
+            } else {
+                counters.add(Count.COMMANDS_NOT_CARRIED_OUT);
+            }
+        } else if (notice instanceof RuntimeLines.Info info) {
+            isNew(info.number());
+        }
+    }
+
+    /** A notice that was read before the link was lost may come again. */
+    private boolean isNew(long number) {
+        boolean is = number > lastNotice;
+        lastNotice = Math.max(lastNotice, number);
+        return is;
+    }
+
+    private void load(Load load) {
+        if (!caughtUp) {
+            caughtUp = true;
+            unacknowledged.all().forEach(c -> write(c.bytes()));
+        } else {
+            unacknowledged.readUpTo(tag(load.tag().substring(1)));
+        }
+        exchange.gaugesRead(load.values());
+    }
+
+    private static long tag(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            return -1; // no question of ours: it acknowledges nothing
+        }
+    }
+
+    private void command(String ref, byte[] bytes) {
+        unacknowledged.add(ref, bytes);
+        if (caughtUp) {
+            write(bytes);
+        }
+    }
+
+    private void write(byte[] bytes) {
+        if (socket != null) {
+            socket.write(Buffer.buffer(bytes));
+        }
+    }
+
+    @Override public void start(String ref, String offering, byte[] body) {
+        command(ref, RuntimeLines.start(ref, offering, body));
+    }
+
+    @Override public void give(String ref, byte[] reply) {
+        command(ref, RuntimeLines.give(ref, reply));
+    }
+
+    @Override public void omit(String ref, long notice) {
+        command(ref, RuntimeLines.omit(ref, notice));
+    }
+
+    @Override public void askGauges() {
+        if (caughtUp) {
+            write(RuntimeLines.gauges("c" + unacknowledged.last()));
+        }
+    }
+
+    @Override public void askWhetherWorkGetsDone(long tag) {
+        write(RuntimeLines.selftest(String.valueOf(tag)));
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/net/Service.java
@@ -0,0 +1,89 @@
+package topazladder.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.time.Clock;
+import java.time.Instant;
+import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+import topazladder.config.ServiceTerms;
+import topazladder.service.Counters;
+import topazladder.service.Counters.Count;
+import topazladder.service.Exchange;
+import topazladder.service.Instance;
+import topazladder.service.Timers;
+
+/** Puts the parts of a real service instance together, all on one event loop. */
+public final class Service {
+    private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+    /** Kept back of the descriptors for runtime, index, control plane, the event loop and the jars. */
+    private static final int OTHER_DESCRIPTORS = 128;
+
+    private final ServiceTerms terms;
+    private final Vertx vertx;
+    private final Counters counters = new Counters();
+    private final CallerServer callers;
+    private final RuntimeLink runtime;
+    private final IndexLink index;
+    private final ControlPlane control;
+    private final Exchange exchange;
+    private final Instance instance;
+
+    public Service(ServiceTerms terms) {
+        this.terms = terms;
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        vertx.exceptionHandler(this::fault);
+        callers = new CallerServer(vertx, Math.max(1, terms.sockets() - OTHER_DESCRIPTORS), counters);
+        runtime = new RuntimeLink(vertx, terms.runtime(), counters);
+        index = new IndexLink(vertx, terms.index(), counters);
+        control = new ControlPlane(vertx, terms.control(), terms.name());
+        DoubleSupplier clock = Service::unixSeconds;
+        Timers timers = (seconds, what) -> vertx.setTimer(Math.max(1, Math.round(seconds * 1000)),
+                id -> what.run());
+        exchange = new Exchange(clock, terms.terms(), runtime, index, callers, timers, counters);
+        instance = new Instance(terms.name(), terms.seed(), terms.stopAfter(), clock, exchange, callers, timers,
+                this::exit);
+    }
+
+    public void start() {
+        Signal.handle(new Signal("TERM"), s -> vertx.runOnContext(v -> instance.leave()));
+        Signal.handle(new Signal("INT"), s -> vertx.runOnContext(v -> instance.leave()));
+        Signal.handle(new Signal("HUP"), s -> vertx.runOnContext(v -> tellCounters()));
+        vertx.runOnContext(v -> callers.listen(terms.listen(), exchange).onComplete(s -> {
+            instance.listening();
+            index.open(exchange);
+            runtime.open(exchange, instance);
+            control.open(instance);
+        }, e -> {
+            System.err.println("serve: can't listen on " + terms.listen().host() + ":" + terms.listen().port()
+                    + ": " + e.getMessage());
+            java.lang.Runtime.getRuntime().halt(1);
+        }));
+    }
+
+    /** One ticket's fault must not end the process that all others are in. */
+    private void fault(Throwable e) {
+        counters.add(Count.FAULTS);
+        LOG.error("a fault of the program", e);
+    }
+
+    private void tellCounters() {
+        LOG.info("{} {} {} connections={}", terms.name(), counters, exchange, callers.connections());
+    }
+
+    private void exit() {
+        tellCounters();
+        runtime.close();
+        vertx.close().onComplete(v -> java.lang.Runtime.getRuntime().halt(0));
+    }
+
+    private static double unixSeconds() {
+        Instant now = Clock.systemUTC().instant();
+        return now.getEpochSecond() + now.getNano() / 1e9;
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/net/codec/FrameReader.java
@@ -0,0 +1,141 @@
+package topazladder.net.codec;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import topazladder.service.Arrival;
+
+/** Reads the frames of one caller's connection from bytes that come in any pieces. */
+public final class FrameReader {
+    private static final int LEAST = 5;
+    private static final int MOST = 262_144;
+    private static final int LONGEST_BODY = 2048;
+    private static final double LARGEST_FOOTPRINT = 2000;
+    private static final Set<String> FIELDS = Set.of("service", "ref", "since", "sender", "project", "dup",
+            "room", "class_rank", "replay", "lookup");
+
+    private byte[] bytes = new byte[4096];
+    private int from;
+    private int to;
+
+    public void feed(byte[] more) {
+        if (bytes.length - to < more.length) {
+            int held = to - from;
+            byte[] roomier = held + more.length <= bytes.length ? bytes : new byte[(held + more.length) * 2];
+            System.arraycopy(bytes, from, roomier, 0, held);
+            bytes = roomier;
+            from = 0;
+            to = held;
+        }
+        System.arraycopy(more, 0, bytes, to, more.length);
+        to += more.length;
+    }
+
+    /** The next whole message, or null until more bytes have come. */
+    public CallerMessage next() throws Malformed {
+        if (to - from < 4) {
+            return null;
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes, from, to - from);
+        long length = in.getInt() & 0xffff_ffffL;
+        if (length < LEAST || length > MOST) {
+            throw new Malformed("a frame of " + length + " bytes");
+        }
+        if (in.remaining() < length) {
+            return null;
+        }
+        in.limit(in.position() + (int) length);
+        from += 4 + (int) length;
+        return message(in);
+    }
+
+    private static CallerMessage message(ByteBuffer in) throws Malformed {
+        int type = in.get() & 0xff;
+        long stream = in.getInt() & 0xffff_ffffL;
+        switch (type) {
+            case 16:
+                if (stream == 0) {
+                    throw new Malformed("a request on stream 0");
+                }
+                Map<String, String> fields = fields(in);
+                byte[] body = new byte[in.remaining()];
+                in.get(body);
+                return submitted(stream, fields, body);
+            case 18:
+                return new CallerMessage.GivenUp(stream);
+            case 32:
+                return new CallerMessage.Check(stream, "1".equals(fields(in).get("inner")));
+            default:
+                throw new Malformed("a frame of type " + type);
+        }
+    }
+
+    private static Map<String, String> fields(ByteBuffer in) throws Malformed {
+        try {
+            Map<String, String> fields = new HashMap<>();
+            for (int count = in.get() & 0xff; count > 0; count--) {
+                String name = text(in, in.get() & 0xff);
+                if (fields.put(name, text(in, in.getShort() & 0xffff)) != null) {
+                    throw new Malformed("a field given twice: " + name);
+                }
+            }
+            return fields;
+        } catch (BufferUnderflowException e) {
+            throw new Malformed("fields cut short");
+        }
+    }
+
+    private static String text(ByteBuffer in, int length) {
+        if (length > in.remaining()) {
+            throw new BufferUnderflowException();
+        }
+        String text = new String(in.array(), in.arrayOffset() + in.position(), length, StandardCharsets.UTF_8);
+        in.position(in.position() + length);
+        return text;
+    }
+
+    private static CallerMessage submitted(long stream, Map<String, String> f, byte[] body) {
+        String ref = f.get("ref");
+        double since = number(f.get("since"));
+        double room = number(f.get("room"));
+        double rank = number(f.get("class_rank"));
+        String dup = f.get("dup");
+        String replay = f.get("replay");
+        String why = !FIELDS.containsAll(f.keySet()) ? "unknown field"
+                : f.get("service") == null ? "service"
+                : ref == null || !ref.matches("[0-9a-fA-F]{16}") ? "ref"
+                : !(since >= 0 && since < 1e15) ? "since"
+                : !(room > 0 && room < LARGEST_FOOTPRINT) ? "room"
+                : !(rank >= 0 && rank < 1) ? "class_rank"
+                : dup != null && !dup.equals("1") ? "dup"
+                : replay != null && replay.isEmpty() ? "replay"
+                : body.length > LONGEST_BODY ? "body" : null;
+        if (why != null) {
+            return new CallerMessage.Unusable(stream, why);
+        }
+        return new CallerMessage.Submitted(stream, new Arrival(ref, f.get("service"), f.get("project"),
+                since / 1000, dup != null, room, rank, replay, body));
+    }
+
+    /** Not a number where the text is none, which no bound above lets pass. */
+    private static double number(String text) {
+        try {
+            return text == null ? Double.NaN : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    /** Bytes that came and are no whole message yet. */
+    public int unread() {
+        return to - from;
+    }
+
+    @Override public String toString() {
+        return Arrays.toString(Arrays.copyOfRange(bytes, from, to));
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/net/codec/IndexLines.java
@@ -0,0 +1,45 @@
+package topazladder.net.codec;
+
+import topazladder.net.codec.LineReader.Line;
+import topazladder.ticket.Ending;
+
+/** The calls to the index, and its replies. */
+public final class IndexLines {
+
+    /** How a call ended; the reply is null unless it went well. */
+    public record Reply(String ref, Ending how, byte[] reply) {
+    }
+
+    private IndexLines() {
+    }
+
+    public static LineReader reader() {
+        return new LineReader(words -> words.length == 3 && words[1].equals("HIT")
+                ? LineReader.length(words[2]) : -1);
+    }
+
+    public static Reply reply(Line line) throws Malformed {
+        String[] w = line.words();
+        if (w.length < 2 || w[1].equals("HIT") != (line.blob() != null)) {
+            throw new Malformed("no reply of the index: " + String.join(" ", w));
+        }
+        return new Reply(w[0], switch (w[1]) {
+            case "HIT" -> Ending.OK;
+            case "SHED" -> Ending.DEFERRED;
+            case "BROKEN" -> Ending.FAILED;
+            case "SLOW" -> Ending.ABANDONED;
+            case "NOBODY" -> Ending.MOOT;
+            default -> throw new Malformed("a call that ended as " + w[1]);
+        }, line.blob());
+    }
+
+    /** Waits at least a millisecond, as 0 would mean none at all. */
+    public static byte[] get(String ref, double patience, byte[] body) {
+        long ms = Math.max(1, Math.round(patience * 1000));
+        return RuntimeLines.line("GET " + ref + " " + ms + " " + body.length, body);
+    }
+
+    public static byte[] stop(String ref) {
+        return RuntimeLines.line("STOP " + ref);
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Answer.java
@@ -0,0 +1,13 @@
+package topazladder.service;
+
+/**
+ * The final answer to a ticket.
+ *
+ * @param level the posted level, or null while none is posted
+ * @param stayAway seconds that the caller is to stay away; 0 for none
+ * @param body the result of the run; empty unless honoured
+ */
+public record Answer(How how, Double level, double stayAway, boolean notElsewhere, byte[] body) {
+
+    public enum How { HONOURED, DEFERRED, BROKEN_OFF }
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Caller.java
@@ -0,0 +1,10 @@
+package topazladder.service;
+
+/** Whoever waits for one ticket or one check. */
+public interface Caller {
+
+    void answer(Answer answer);
+
+    /** The answer to a check. */
+    void health(boolean good, Double level);
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Counters.java
@@ -0,0 +1,34 @@
+package topazladder.service;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** What was taken in, sent and answered since the start; one number a kind, so nothing grows. */
+public final class Counters {
+
+    public enum Count {
+        CONNECTIONS_TAKEN, CONNECTIONS_ENDED_AS_MALFORMED, TICKETS_TAKEN_IN, TICKETS_UNUSABLE, TICKETS_LATER_TRIES,
+        TICKETS_REPEATED, CHECKS_TAKEN_IN, CALLERS_GONE, RUNS_STARTED, RUNS_PASSED, RUNS_FAILED, RUNS_KILLED,
+        RUNS_NOT_STARTED, CALLS_WANTED, CALLS_MADE, CALLS_WELL, CALLS_TURNED_AWAY, CALLS_FAILED, CALLS_LEFT_OUT,
+        JOINED, HONOURED, DEFERRED, BROKEN_OFF, ANSWERS_NOBODY_WAITED_FOR, COMMANDS_NOT_CARRIED_OUT, LINKS_LOST,
+        GAUGES_READ, GAUGES_MISSED, LINES_UNREADABLE, FAULTS
+    }
+
+    private final long[] counts = new long[Count.values().length];
+
+    public void add(Count count) {
+        counts[count.ordinal()]++;
+    }
+
+    public long of(Count count) {
+        return counts[count.ordinal()];
+    }
+
+    /** Those that ever counted, on one line. */
+    @Override public String toString() {
+        return Arrays.stream(Count.values()).filter(c -> of(c) > 0)
+                .map(c -> c.name().toLowerCase(Locale.ROOT).replace('_', '-') + "=" + of(c))
+                .collect(Collectors.joining(" "));
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -0,0 +1,408 @@
+package topazladder.service;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazladder.Brain;
+import topazladder.config.Terms;
+import topazladder.service.Answer.How;
+import topazladder.service.Counters.Count;
+import topazladder.service.Fingerprints.Kept;
+import topazladder.ticket.Customer;
+import topazladder.ticket.Ending;
+import topazladder.ticket.Offering;
+import topazladder.ticket.Offering.Repeats;
+import topazladder.ticket.Ruling;
+import topazladder.ticket.Ticket;
+
+/**
+ * Where the callers' side and the side of runtime and index meet, and nowhere else: it holds the tickets in
+ * hand, tells the module each happening and carries out its rulings. It decides nothing itself.
+ */
+public final class Exchange {
+    private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
+    private static final byte[] NOTHING = {};
+
+    private final DoubleSupplier clock;
+    private final Terms terms;
+    private final Runtime runtime;
+    private final Index index;
+    private final Callers callers;
+    private final Timers timers;
+    private final Counters counters;
+    private final Map<String, Offering> offerings = new HashMap<>();
+    private final Map<String, Customer> customers = new HashMap<>();
+    private final double longestLimit;
+    private final Fingerprints fingerprints = new Fingerprints();
+    /** All that the module has in hand; emptied after each happening of what it has let go. */
+    private final Map<String, InHand> byRef = new HashMap<>();
+    private final Map<Ticket, InHand> byTicket = new HashMap<>();
+    private final List<InHand> touched = new ArrayList<>(); // emptied after each happening
+    private final Deque<Function<Brain, List<Ruling>>> happenings = new ArrayDeque<>(); // emptied at once
+    private boolean telling;
+    /** Checks that wait for the runtime's word; emptied by it, or as their callers' connections close. */
+    private final Map<Long, Caller> checks = new LinkedHashMap<>();
+    private long lastCheck;
+    private Brain brain;
+    private double zero;
+    private double latest;
+    private Double level;
+    private Boolean health; // null until the module rules on it
+    private Map<String, Double> gauges = Map.of();
+    private boolean gaugesAwaited;
+    private double wakePeriod;
+    private int owed;
+
+    public Exchange(DoubleSupplier clock, Terms terms, Runtime runtime, Index index, Callers callers,
+                    Timers timers, Counters counters) {
+        this.clock = clock;
+        this.terms = terms;
+        this.runtime = runtime;
+        this.index = index;
+        this.callers = callers;
+        this.timers = timers;
+        this.counters = counters;
+        terms.offerings().forEach(o -> offerings.put(o.name(), o));
+        terms.customers().forEach(c -> customers.put(c.name(), c));
+        longestLimit = terms.offerings().stream().mapToDouble(Offering::outerLimit).max().orElse(0);
+    }
+
+    /** The module's time starts with the server's, as its warming up does. */
+    void open(long seed, double serverStarted, boolean cold) {
+        Map<String, Object> handed = new LinkedHashMap<>(terms.map());
+        handed.put("cold", cold);
+        brain = new Brain(new SplittableRandom(seed), handed);
+        zero = serverStarted;
+        tell(b -> b.start(now()));
+    }
+
+    /** Tickets that were read and are not answered yet. */
+    int owed() {
+        return owed;
+    }
+
+    boolean good() {
+        return health != null && health;
+    }
+
+    /** What is in hand, for whoever asks. */
+    @Override public String toString() {
+        return "in-hand=" + byRef.size() + " owed=" + owed + " fingerprints=" + fingerprints.size() + " level="
+                + (level == null ? "none" : level) + " gauges=" + gauges;
+    }
+
+    // ---- The callers' side
+
+    /** Returns null if the ticket was answered at once because it can't be decided on. */
+    public InHand arrive(Arrival a, Caller caller) {
+        counters.add(Count.TICKETS_TAKEN_IN);
+        if (brain == null) {
+            // Before the runtime is up nothing can have run, so that the caller may go elsewhere.
+            counters.add(Count.DEFERRED);
+            caller.answer(new Answer(How.DEFERRED, level, 0, false, NOTHING));
+            return null;
+        }
+        Offering offering = offerings.get(a.offering());
+        Customer customer = a.customer() == null ? null : customers.get(a.customer());
+        boolean fingerprinted = offering != null && offering.repeats() == Repeats.FINGERPRINTED;
+        if (offering == null || customer == null && !customers.isEmpty() || byRef.containsKey(a.ref())
+                || fingerprinted != (a.fingerprint() != null)) {
+            unusable(caller);
+            return null;
+        }
+        Kept kept = fingerprinted ? fingerprints.find(a.fingerprint(), a.since()) : null;
+        boolean inHand = kept != null && byTicket.containsKey(kept.holder.ticket);
+        Ticket ticket = new Ticket(offering, customer, a.rank(), a.footprint(),
+                Math.max(0, clock.getAsDouble() - a.since()), 0, a.laterTry(), kept != null,
+                inHand ? kept.holder.ticket : null);
+        InHand h = new InHand(a, caller, ticket, kept);
+        byRef.put(a.ref(), h);
+        byTicket.put(ticket, h);
+        touched.add(h);
+        owed++;
+        if (a.laterTry()) {
+            counters.add(Count.TICKETS_LATER_TRIES);
+        }
+        if (kept != null) {
+            counters.add(Count.TICKETS_REPEATED);
+        }
+        tell(b -> b.arrive(now(), ticket));
+        return h;
+    }
+
+    /** A ticket in a sound frame that no decision can be made on: one answer, and it never reaches the module. */
+    public void unusable(Caller caller) {
+        counters.add(Count.TICKETS_UNUSABLE);
+        counters.add(Count.BROKEN_OFF);
+        caller.answer(new Answer(How.BROKEN_OFF, level, 0, false, NOTHING));
+    }
+
+    public void callerGone(InHand h) {
+        if (byRef.get(h.arrival.ref()) != h || h.answered) {
+            return;
+        }
+        counters.add(Count.CALLERS_GONE);
+        h.answered = true;
+        owed--;
+        touched.add(h);
+        tell(b -> b.callerGone(now(), h.ticket));
+    }
+
+    /** Answered from store once the module has ruled so; before, a deep check goes to the runtime. */
+    public void check(Caller caller, boolean deep) {
+        counters.add(Count.CHECKS_TAKEN_IN);
+        if (health == null && deep) {
+            checks.put(++lastCheck, caller);
+            runtime.askWhetherWorkGetsDone(lastCheck);
+        } else {
+            caller.health(good(), level);
+        }
+    }
+
+    public void checkGone(Caller caller) {
+        checks.values().remove(caller);
+    }
+
+    // ---- The runtime's side
+
+    public void gaugesRead(double[] values) {
+        counters.add(Count.GAUGES_READ);
+        Map<String, Double> read = new LinkedHashMap<>();
+        for (int i = 0; i < values.length && i < terms.gauges().size(); i++) {
+            read.put(terms.gauges().get(i), values[i]);
+        }
+        gauges = read;
+        if (gaugesAwaited) {
+            timer();
+        }
+    }
+
+    public void verdict(long tag, boolean passed) {
+        Caller caller = checks.remove(tag);
+        if (caller != null) {
+            caller.health(passed, level);
+        }
+    }
+
+    public void callWanted(String ref, long notice, byte[] body) {
+        InHand h = byRef.get(ref);
+        if (h != null) {
+            counters.add(Count.CALLS_WANTED);
+            h.wantedBy = notice;
+            h.wanted = body;
+            touched.add(h);
+            tell(b -> b.callWanted(now(), h.ticket));
+        }
+    }
+
+    /** A result is passed on before the module hears of it: the answer is owed whatever it rules next. */
+    public void runEnded(String ref, Ending ending, double elapsed, byte[] result) {
+        InHand h = byRef.get(ref);
+        if (h == null) {
+            return;
+        }
+        counters.add(switch (ending) {
+            case OK -> Count.RUNS_PASSED;
+            case FAILED -> Count.RUNS_FAILED;
+            case MOOT -> Count.RUNS_NOT_STARTED;
+            default -> Count.RUNS_KILLED;
+        });
+        if (h.calling) {
+            h.calling = false;
+            index.giveUp(ref);
+        }
+        byte[] passed = ending == Ending.OK ? result : null;
+        end(h, passed);
+        touched.add(h);
+        tell(b -> b.runEnded(now(), h.ticket, ending, elapsed));
+        Kept kept = h.kept;
+        if (kept != null && kept.holder == h) {
+            fingerprints.runOver(kept, passed);
+            for (InHand j : List.copyOf(kept.joined)) {
+                endJoined(j);
+            }
+            kept.joined.clear();
+        }
+    }
+
+    /** The runtime knows nothing of the ticket, so that its run can't end either. */
+    public void notStarted(String ref) {
+        LOG.warn("the runtime did not start a ticket that it was told to start");
+        counters.add(Count.COMMANDS_NOT_CARRIED_OUT);
+        runEnded(ref, Ending.FAILED, 0, null);
+    }
+
+    // ---- The index's side
+
+    public void callEnded(String ref, Ending ending, byte[] reply) {
+        InHand h = byRef.get(ref);
+        if (h == null || !h.calling) {
+            return;
+        }
+        h.calling = false;
+        counters.add(ending == Ending.OK ? Count.CALLS_WELL
+                : ending.neverRan() ? Count.CALLS_TURNED_AWAY : Count.CALLS_FAILED);
+        if (ending == Ending.OK) {
+            runtime.give(ref, reply);
+        }
+        double elapsed = clock.getAsDouble() - h.calledAt;
+        touched.add(h);
+        tell(b -> b.callEnded(now(), h.ticket, ending, elapsed));
+    }
+
+    // ---- The instance's side
+
+    void leave(double secondsToStop) {
+        tell(b -> b.leave(now(), secondsToStop));
+    }
+
+    // ---- What the module ruled
+
+    /** One happening at a time: what a ruling leads to at once is told when all rulings are carried out. */
+    private void tell(Function<Brain, List<Ruling>> happening) {
+        happenings.add(happening);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            for (var next = happenings.poll(); next != null; next = happenings.poll()) {
+                next.apply(brain).forEach(this::carryOut);
+            }
+        } finally {
+            telling = false;
+        }
+        for (InHand h : touched) {
+            if (!brain.inHand(h.ticket)) {
+                byRef.remove(h.arrival.ref(), h);
+                byTicket.remove(h.ticket);
+            }
+        }
+        touched.clear();
+    }
+
+    private void carryOut(Ruling r) {
+        InHand h = r.ticket() == null ? null : byTicket.get(r.ticket());
+        if (h != null) {
+            touched.add(h);
+        }
+        switch (r.what()) {
+            case START -> {
+                counters.add(Count.RUNS_STARTED);
+                runtime.start(h.arrival.ref(), h.arrival.offering(), h.arrival.body());
+            }
+            case DEFER -> answer(h, How.DEFERRED, r.number(), r.yes(), NOTHING);
+            case BREAK_OFF -> answer(h, How.BROKEN_OFF, 0, false, NOTHING);
+            case JOIN -> join(h);
+            case REMEMBER -> fingerprints.remember(h, clock.getAsDouble() + r.number());
+            case FORGET -> fingerprints.forget(h);
+            case CALL -> {
+                counters.add(Count.CALLS_MADE);
+                h.calling = true;
+                h.calledAt = clock.getAsDouble();
+                index.call(h.arrival.ref(), r.number(), h.wanted);
+            }
+            case DO_WITHOUT -> {
+                counters.add(Count.CALLS_LEFT_OUT);
+                runtime.omit(h.arrival.ref(), h.wantedBy);
+            }
+            case POST -> level = r.number();
+            case HEALTH -> {
+                if (health == null || health != r.yes()) {
+                    LOG.info("health is {}", r.yes() ? "good" : "bad");
+                }
+                health = r.yes();
+            }
+            case CLOSE_IDLE -> callers.closeIdle(r.number());
+            case WAKE -> {
+                wakePeriod = r.number();
+                timers.in(wakePeriod, this::wake);
+            }
+            case NOTE -> LOG.info("{}", r.text());
+            case STOP -> LOG.warn("this runtime knows no command that stops a run");
+        }
+    }
+
+    private void answer(InHand h, How how, double stayAway, boolean notElsewhere, byte[] body) {
+        if (h.calling) {
+            // Nobody waits any more, so that what lies below need not work on.
+            h.calling = false;
+            index.giveUp(h.arrival.ref());
+        }
+        if (h.answered) {
+            return;
+        }
+        h.answered = true;
+        owed--;
+        counters.add(switch (how) {
+            case HONOURED -> Count.HONOURED;
+            case DEFERRED -> Count.DEFERRED;
+            case BROKEN_OFF -> Count.BROKEN_OFF;
+        });
+        h.caller.answer(new Answer(how, level, stayAway, notElsewhere, body));
+    }
+
+    private void end(InHand h, byte[] result) {
+        if (h.answered && result != null) {
+            counters.add(Count.ANSWERS_NOBODY_WAITED_FOR);
+        }
+        answer(h, result != null ? How.HONOURED : How.BROKEN_OFF, 0, false, result != null ? result : NOTHING);
+    }
+
+    private void join(InHand h) {
+        counters.add(Count.JOINED);
+        if (h.kept == null || h.kept.over) {
+            endJoined(h);
+        } else {
+            h.kept.joined.add(h);
+        }
+    }
+
+    private void endJoined(InHand h) {
+        byte[] result = h.kept == null ? null : h.kept.result;
+        double since = h.arrival.since();
+        if (!h.answered) {
+            end(h, result);
+        }
+        touched.add(h);
+        tell(b -> b.runEnded(now(), h.ticket, result != null ? Ending.OK : Ending.FAILED,
+                clock.getAsDouble() - since));
+    }
+
+    // ---- Time
+
+    /** A timer wants the gauges of its moment; where none come within its period, the last must do. */
+    private void wake() {
+        if (fingerprints.size() > 0) {
+            fingerprints.sweep(clock.getAsDouble(), longestLimit);
+        }
+        gaugesAwaited = true;
+        runtime.askGauges();
+        timers.in(wakePeriod / 2, () -> {
+            if (gaugesAwaited) {
+                counters.add(Count.GAUGES_MISSED);
+                timer();
+            }
+        });
+    }
+
+    private void timer() {
+        gaugesAwaited = false;
+        tell(b -> b.timer(now(), gauges));
+    }
+
+    /** Seconds of the module's time, which never runs backwards though the clock may be set. */
+    private double now() {
+        latest = Math.max(latest, clock.getAsDouble() - zero);
+        return latest;
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Fingerprints.java
@@ -0,0 +1,85 @@
+package topazladder.service;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The fingerprints that the module ruled to remember, with what became of the run. */
+final class Fingerprints {
+    /** Tickets taken twice into account: results past this are let go, so that no flood of them fills the heap. */
+    private static final int MOST_BYTES = 8 << 20;
+
+    /** One remembered ticket: whichever try has the entry, and the result of the run once that is over. */
+    static final class Kept {
+        final String fingerprint;
+        InHand holder;
+        double until;
+        boolean over;
+        byte[] result; // null if the run came to nothing, or was let go
+        final List<InHand> joined = new ArrayList<>(0); // wait for the end of the run; emptied by it
+
+        Kept(String fingerprint) {
+            this.fingerprint = fingerprint;
+        }
+    }
+
+    /** Emptied by FORGET, and by the sweep once no try of the window can still be unread. */
+    private final Map<String, Kept> entries = new HashMap<>();
+    private int bytes;
+
+    /** A try counts by when it came, not by when it is read: a pause may lie between. */
+    Kept find(String fingerprint, double since) {
+        Kept kept = entries.get(fingerprint);
+        return kept == null || since > kept.until ? null : kept;
+    }
+
+    void remember(InHand holder, double until) {
+        String fingerprint = holder.arrival.fingerprint();
+        if (fingerprint == null) {
+            return;
+        }
+        Kept old = entries.get(fingerprint);
+        if (old != null && old != holder.kept) {
+            bytes -= size(old);
+        }
+        if (holder.kept == null) {
+            holder.kept = new Kept(fingerprint);
+        }
+        holder.kept.holder = holder;
+        holder.kept.until = until;
+        entries.put(fingerprint, holder.kept);
+    }
+
+    void forget(InHand holder) {
+        Kept kept = holder.kept;
+        if (kept != null && kept.holder == holder && entries.remove(kept.fingerprint, kept)) {
+            bytes -= size(kept);
+        }
+    }
+
+    void runOver(Kept kept, byte[] result) {
+        kept.over = true;
+        if (entries.get(kept.fingerprint) == kept && result != null && bytes + result.length <= MOST_BYTES) {
+            kept.result = result;
+            bytes += result.length;
+        }
+    }
+
+    /** What came within the window and lay unread through the longest outer limit is past answering. */
+    void sweep(double now, double longestLimit) {
+        entries.values().removeIf(kept -> {
+            boolean past = now > kept.until + longestLimit && kept.joined.isEmpty();
+            bytes -= past ? size(kept) : 0;
+            return past;
+        });
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    private static int size(Kept kept) {
+        return kept.result == null ? 0 : kept.result.length;
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Index.java
@@ -0,0 +1,9 @@
+package topazladder.service;
+
+/** Makes the calls of runs to what lies below. */
+public interface Index {
+
+    void call(String ref, double patience, byte[] body);
+
+    void giveUp(String ref);
+}
--- /dev/null
+++ b/src/main/java/topazladder/service/Instance.java
@@ -0,0 +1,102 @@
+package topazladder.service;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One real service instance from its start to its exit. */
+public final class Instance {
+    private static final Logger LOG = LoggerFactory.getLogger(Instance.class);
+    /** Kept of the time before the kill, so that the last answers are out and the process is over by then. */
+    private static final double CLEARING = 0.2;
+
+    public enum Phase { STARTING, AWAITING_RUNTIME, SERVING, DRAINING, STOPPED }
+
+    private final String name;
+    private final long seed;
+    private final double stopAfter;
+    private final java.util.function.DoubleSupplier clock;
+    private final Exchange exchange;
+    private final Callers callers;
+    private final Timers timers;
+    private final Runnable exit;
+    private Phase phase = Phase.STARTING;
+    private double killAt;
+    private boolean lastCall;
+
+    public Instance(String name, long seed, double stopAfter, java.util.function.DoubleSupplier clock,
+                    Exchange exchange, Callers callers, Timers timers, Runnable exit) {
+        this.name = name;
+        this.seed = seed;
+        this.stopAfter = stopAfter;
+        this.clock = clock;
+        this.exchange = exchange;
+        this.callers = callers;
+        this.timers = timers;
+        this.exit = exit;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Whether it is to be reported as ready. */
+    public boolean ready() {
+        return phase == Phase.SERVING && exchange.good();
+    }
+
+    public void listening() {
+        if (phase == Phase.STARTING) {
+            enter(Phase.AWAITING_RUNTIME);
+        }
+    }
+
+    /** Told again whenever the link is taken anew, which changes nothing. */
+    public void runtimeUp(boolean cold, double secondsAgo) {
+        if (phase == Phase.AWAITING_RUNTIME) {
+            enter(Phase.SERVING);
+            exchange.open(seed, clock.getAsDouble() - secondsAgo, cold);
+        }
+    }
+
+    /** A second notice changes nothing: the kill follows the first. */
+    public void leave() {
+        if (phase == Phase.SERVING) {
+            enter(Phase.DRAINING);
+            killAt = clock.getAsDouble() + stopAfter;
+            exchange.leave(Math.max(0, stopAfter - 2 * CLEARING));
+            clear();
+        } else if (phase != Phase.DRAINING) {
+            stop();
+        }
+    }
+
+    /** New tickets are taken as long as the module has time for them; then all that was read is answered. */
+    private void clear() {
+        double left = killAt - clock.getAsDouble();
+        if (!lastCall && left <= 3 * CLEARING) {
+            lastCall = true;
+            callers.lastCall();
+        }
+        if (lastCall && exchange.owed() == 0 && callers.connections() == 0 || left <= CLEARING / 2) {
+            stop();
+        } else if (phase == Phase.DRAINING) {
+            timers.in(CLEARING / 10, this::clear);
+        }
+    }
+
+    private void stop() {
+        if (phase != Phase.STOPPED) {
+            enter(Phase.STOPPED);
+            exit.run();
+        }
+    }
+
+    private void enter(Phase next) {
+        LOG.info("{} is {} after {}", name, words(next), words(phase));
+        phase = next;
+    }
+
+    private static String words(Phase phase) {
+        return phase.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
+    }
+}
--- a/src/main/java/topazladder/wire/Door.java
+++ b/src/main/java/topazladder/wire/Door.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import topazladder.Brain;
+import topazladder.config.BadTerms;
+import topazladder.config.Terms;
 import topazladder.ticket.Ending;
 import topazladder.ticket.Ruling;
 import topazladder.ticket.Ticket;
@@ -38,7 +40,7 @@
         }
         try {
             step.run();
-        } catch (MalformedWire e) {
+        } catch (MalformedWire | BadTerms e) {
             throw e;
         } catch (RuntimeException e) {
             failed = true;
@@ -48,23 +50,23 @@
     }
 
     void start(long seed, String text) {
-        terms = new Terms(text);
-        brain = new Brain(new SplittableRandom(seed), terms.map);
+        terms = Terms.ofLines(text);
+        brain = new Brain(new SplittableRandom(seed), terms.map());
         rule(brain.start(0));
     }
 
     void arrive(long clock, WireHost.Arrival a) {
-        if (a.offering() >= terms.offerings.size()) {
+        if (a.offering() >= terms.offerings().size()) {
             throw new MalformedWire("ticket " + a.id() + " is of an unknown class: " + a.offering());
         }
-        if (!terms.customers.isEmpty() && a.customer() >= terms.customers.size()) {
+        if (!terms.customers().isEmpty() && a.customer() >= terms.customers().size()) {
             throw new MalformedWire("ticket " + a.id() + " is of an unknown tenant: " + a.customer());
         }
         if (!(a.footprint() >= 0) || !(a.rank() >= 0 && a.rank() <= 1) || a.waited() < 0 || a.left() < 0) {
             throw new MalformedWire("ticket " + a.id() + " has an impossible field");
         }
-        Ticket ticket = new Ticket(terms.offerings.get(a.offering()),
-                terms.customers.isEmpty() ? null : terms.customers.get(a.customer()),
+        Ticket ticket = new Ticket(terms.offerings().get(a.offering()),
+                terms.customers().isEmpty() ? null : terms.customers().get(a.customer()),
                 a.rank(), a.footprint(), a.waited() / 1e9, a.left() / 1e9, (a.bits() & 2) != 0,
                 a.original() != 0, tickets.get(a.original()));
         tickets.put(a.id(), ticket);
@@ -105,8 +107,8 @@
 
     void timer(long clock, float[] readings) {
         Map<String, Double> gauges = new LinkedHashMap<>();
-        for (int i = 0; i < readings.length && i < terms.gauges.size(); i++) {
-            gauges.put(terms.gauges.get(i), (double) readings[i]);
+        for (int i = 0; i < readings.length && i < terms.gauges().size(); i++) {
+            gauges.put(terms.gauges().get(i), (double) readings[i]);
         }
         rule(brain.timer(seconds(clock), gauges));
     }
