--- a/src/main/java/topazladder/net/RuntimeLink.java
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -112,7 +112,7 @@
             LOG.info("the runtime is up since {} s, {}", ready.secondsAgo(), ready.loaded() ? "loaded" : "empty");
             // The answer to a question comes after all notices of before; only then is it known what ran.
             write(RuntimeLines.gauges("c" + unacknowledged.last()));
-            instance.runtimeUp(!ready.loaded(), ready.secondsAgo());
+            instance.runtimeUp(!ready.loaded());
         } else if (notice instanceof Load load) {
             load(load);
         } else if (notice instanceof Ended e) {
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -76,12 +76,16 @@
         longestLimit = terms.offerings().stream().mapToDouble(Offering::outerLimit).max().orElse(0);
     }
 
-    /** The module's time starts with the server's, as its warming up does. */
-    void open(long seed, double serverStarted, boolean cold) {
+    /**
+     * The module's time starts here. An empty server may have been up for a while and be warmer than that tells;
+     * counted from its own start instead, one that was loaded long ago would have the module trust averages
+     * over an hour in which it saw nothing.
+     */
+    void open(long seed, boolean cold) {
         Map<String, Object> handed = new LinkedHashMap<>(terms.map());
         handed.put("cold", cold);
         brain = new Brain(new SplittableRandom(seed), handed);
-        zero = serverStarted;
+        zero = clock.getAsDouble();
         tell(b -> b.start(now()));
     }
 
--- a/src/main/java/topazladder/service/Instance.java
+++ b/src/main/java/topazladder/service/Instance.java
@@ -1,5 +1,7 @@
 package topazladder.service;
 
+import java.util.Locale;
+import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,7 +16,7 @@
     private final String name;
     private final long seed;
     private final double stopAfter;
-    private final java.util.function.DoubleSupplier clock;
+    private final DoubleSupplier clock;
     private final Exchange exchange;
     private final Callers callers;
     private final Timers timers;
@@ -23,7 +25,7 @@
     private double killAt;
     private boolean lastCall;
 
-    public Instance(String name, long seed, double stopAfter, java.util.function.DoubleSupplier clock,
+    public Instance(String name, long seed, double stopAfter, DoubleSupplier clock,
                     Exchange exchange, Callers callers, Timers timers, Runnable exit) {
         this.name = name;
         this.seed = seed;
@@ -51,10 +53,10 @@
     }
 
     /** Told again whenever the link is taken anew, which changes nothing. */
-    public void runtimeUp(boolean cold, double secondsAgo) {
+    public void runtimeUp(boolean cold) {
         if (phase == Phase.AWAITING_RUNTIME) {
             enter(Phase.SERVING);
-            exchange.open(seed, clock.getAsDouble() - secondsAgo, cold);
+            exchange.open(seed, cold);
         }
     }
 
@@ -97,6 +99,6 @@
     }
 
     private static String words(Phase phase) {
-        return phase.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ');
+        return phase.name().toLowerCase(Locale.ROOT).replace('_', ' ');
     }
 }
