--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -79,7 +79,7 @@
     private void exit() {
         tellCounters();
         runtime.close();
-        vertx.close().onComplete(v -> java.lang.Runtime.getRuntime().halt(0));
+        vertx.close().onComplete(v -> java.lang.Runtime.getRuntime().exit(0));
     }
 
     private static double unixSeconds() {
