--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -434,7 +434,11 @@
     private InputStream in;
 
     Peer() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this(0);
+    }
+
+    Peer(int port) throws IOException {
+        server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         server.setSoTimeout(20_000);
     }
 
@@ -445,6 +449,7 @@
     Peer accept() throws IOException {
         link = server.accept();
         link.setSoTimeout(20_000);
+        link.setTcpNoDelay(true);
         in = new BufferedInputStream(link.getInputStream());
         return this;
     }
@@ -509,6 +514,7 @@
     Stub(int port) throws IOException {
         socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(20_000);
+        socket.setTcpNoDelay(true);
         in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
     }
 
