Never cut open tickets at the last call of a drain; keep nothing of frames too long to be tickets

Seen: a test of the notice to leave with a ticket open once heard the connection close in place of the answer. At fault was the last call in CallerServer, which closed the listening server: Vert.x closes all accepted connections with it. It now shuts the server down, which refuses new connections at once and leaves the others to the caller. The test holds it, and that the address is free for the next start.

A frame of up to 262,144 bytes was kept whole: 512 connections with one each would fill the heap. Nothing is kept of one past 16 KB, which no ticket that can be decided on reaches; it gets its one failed answer.

--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -45,6 +45,7 @@
         socket.handler(this::read);
         socket.exceptionHandler(e -> socket.close());
         socket.closeHandler(v -> closed());
+        socket.shutdownHandler(v -> { }); // told by lastCall; without a handler the socket is closed at once
     }
 
     private void read(Buffer more) {
--- a/src/main/java/topazladder/net/CallerServer.java
+++ b/src/main/java/topazladder/net/CallerServer.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import topazladder.config.ServiceTerms.Address;
 import topazladder.service.Callers;
 import topazladder.service.Counters;
@@ -20,6 +21,9 @@
     /** Looks for idle connections no more often than this, however short they may idle. */
     private static final long LEAST_SWEEP_MS = 100;
 
+    /** Past any time from the notice to the kill: the instance ends before its server does. */
+    private static final long LONGEST_SHUTDOWN_S = 3600;
+
     private final Vertx vertx;
     private final Counters counters;
     private final int most;
@@ -75,7 +79,8 @@
 
     @Override public void lastCall() {
         lastCall = true;
-        server.close();
+        // Closed outright, the server would cut the open tickets of all its connections.
+        server.shutdown(LONGEST_SHUTDOWN_S, TimeUnit.SECONDS);
         new ArrayList<>(connections).forEach(CallerConnection::lastCall);
     }
 
--- a/src/main/java/topazladder/net/codec/FrameReader.java
+++ b/src/main/java/topazladder/net/codec/FrameReader.java
@@ -14,12 +14,16 @@
     private static final int LEAST = 5;
     private static final int MOST = 262_144;
     private static final int LONGEST_BODY = 2048;
+    /** No ticket that can be decided on is longer; of one that is, nothing is kept, or a few would fill the heap. */
+    private static final int LONGEST_KEPT = 16_384;
     private static final double LARGEST_FOOTPRINT = 2000;
     private static final Pattern REF = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Set<String> FIELDS = Set.of("service", "ref", "since", "sender", "project", "dup",
             "room", "class_rank", "replay", "lookup");
 
     private final Unread unread = new Unread();
+    private long skip; // bytes left of a ticket that is too long
+    private long skipped; // its stream
 
     public void feed(byte[] more) {
         unread.add(more);
@@ -27,6 +31,17 @@
 
     /** The next whole message, or null until more bytes have come. */
     public CallerMessage next() throws Malformed {
+        CallerMessage message = read();
+        if (message == null) {
+            unread.trim();
+        }
+        return message;
+    }
+
+    private CallerMessage read() throws Malformed {
+        if (skip > 0) {
+            return skip();
+        }
         if (unread.size() < 4) {
             return null;
         }
@@ -35,6 +50,15 @@
         if (length < LEAST || length > MOST) {
             throw new Malformed("a frame of " + length + " bytes");
         }
+        if (length > LONGEST_KEPT && in.remaining() >= LEAST) {
+            if (in.get() != 16) {
+                throw new Malformed("a frame of " + length + " bytes that is no request");
+            }
+            skipped = in.getInt() & 0xffff_ffffL;
+            skip = length - LEAST;
+            unread.from += 4 + LEAST;
+            return skip();
+        }
         if (in.remaining() < length) {
             return null;
         }
@@ -43,6 +67,13 @@
         return message(in);
     }
 
+    private CallerMessage skip() {
+        long now = Math.min(skip, unread.size());
+        unread.from += (int) now;
+        skip -= now;
+        return skip > 0 ? null : new CallerMessage.Unusable(skipped, "body");
+    }
+
     private static CallerMessage message(ByteBuffer in) throws Malformed {
         int type = in.get() & 0xff;
         long stream = in.getInt() & 0xffff_ffffL;
--- a/src/main/java/topazladder/net/codec/Unread.java
+++ b/src/main/java/topazladder/net/codec/Unread.java
@@ -1,8 +1,12 @@
 package topazladder.net.codec;
 
+import java.util.Arrays;
+
 /** Bytes that came and are no whole message yet; it takes back the room of those that were read. */
 final class Unread {
-    byte[] bytes = new byte[4096];
+    private static final int USUAL = 4096;
+
+    byte[] bytes = new byte[USUAL];
     int from;
     int to;
 
@@ -19,6 +23,15 @@
         to += more.length;
     }
 
+    /** Gives back the room that a large piece took: hundreds of connections may each hold the start of a message. */
+    void trim() {
+        if (bytes.length > 2 * USUAL && size() <= USUAL) {
+            bytes = Arrays.copyOfRange(bytes, from, from + USUAL);
+            to -= from;
+            from = 0;
+        }
+    }
+
     int size() {
         return to - from;
     }
--- a/src/test/java/topazladder/CodecTest.java
+++ b/src/test/java/topazladder/CodecTest.java
@@ -55,6 +55,15 @@
     void lengthsAreTakenUpToTheirBoundsAndNotPast() throws Malformed {
         assertThat(read(Frames.frame(16, 1, Frames.fields(), new byte[262_138]))).isInstanceOf(
                 CallerMessage.Unusable.class);
+        FrameReader pieces = new FrameReader();
+        byte[] longest = Frames.frame(16, 9, Frames.fields(), new byte[262_138]);
+        pieces.feed(Arrays.copyOf(longest, 100_000));
+        assertThat(pieces.next()).isNull();
+        pieces.feed(Arrays.copyOfRange(longest, 100_000, longest.length));
+        pieces.feed(Frames.frame(18, 3));
+        assertThat(pieces.next()).isEqualTo(new CallerMessage.Unusable(9, "body"));
+        assertThat(pieces.next()).isEqualTo(new CallerMessage.GivenUp(3));
+        malformed(Frames.frame(18, 1, new byte[20_000]), "a frame of 20005 bytes that is no request");
         malformed(new byte[] {0, 0, 0, 4, 18, 0, 0, 0}, "a frame of 4 bytes");
         malformed(new byte[] {0, 4, 0, 1}, "a frame of 262145 bytes");
         malformed(new byte[] {-1, -1, -1, -1}, "a frame of 4294967295 bytes");
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -487,6 +487,10 @@
         link.close();
     }
 
+    void saysNoMore() throws IOException {
+        link.shutdownOutput();
+    }
+
     private String line() throws IOException {
         StringBuilder line = new StringBuilder();
         for (int c = in.read(); c != '\n'; c = in.read()) {
--- a/src/test/java/topazladder/ServiceTest.java
+++ b/src/test/java/topazladder/ServiceTest.java
@@ -1,8 +1,10 @@
 package topazladder;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.Map;
@@ -20,7 +22,7 @@
     private static final String B = "000000000000000b";
     private static final String C = "000000000000000c";
 
-    private final CompletableFuture<Integer> exit = new CompletableFuture<>();
+    private CompletableFuture<Integer> exit;
     private Peer runtime;
     private Peer index;
     private int port;
@@ -28,12 +30,17 @@
 
     @BeforeEach
     void start() throws IOException {
+        start("");
+    }
+
+    private void start(String extra) throws IOException {
+        exit = new CompletableFuture<>();
         runtime = new Peer();
         index = new Peer();
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
-        service = new Service(terms(), exit::complete);
+        service = new Service(terms(extra), exit::complete);
         service.start();
         runtime.accept();
         assertThat(runtime.hear()).isEqualTo("sync 0");
@@ -124,6 +131,8 @@
             stub.send(Frames.ticket(1, A, "place", "replay", "F"), Frames.ticket(2, B, "read"));
             hears("start " + A + " place 4", 4, "body");
             hears("start " + B + " read 4", 4, "body");
+            stub.send(Frames.ticket(3, C, "read"));
+            hears("start " + C + " read 4", 4, "body");
             runtime.say("wants 1 " + A + " 1\r\nx\r\n");
             index.accept();
             assertThat(index.hear()).startsWith("GET " + A);
@@ -132,11 +141,13 @@
             index.say(A + " HIT 2\r\nok\r\n");
             runtime.accept();
             assertThat(runtime.hear()).isEqualTo("sync 1");
-            // What was missed: the run of the second ticket is over, so that it must not be started again.
+            // What was missed: the run of the second ticket is over, so that it must not be started again. Whether
+            // the third was ever started is not known.
             runtime.say("ready LOADED 3600000\r\nend 2 " + B + " PASS 9 2\r\nr2\r\n");
             assertThat(stub.hear()).isEqualTo("17 on 2 code 0 r2");
             String question = runtime.hearQuestion();
             runtime.say("load " + question.substring(7) + " 0.5 1\r\n");
+            hears("start " + C + " read 4", 4, "body");
             hears("give " + A + " 2", 2, "ok");
             runtime.say("end 2 " + B + " PASS 9 2\r\nr9\r\nend 3 " + A + " PASS 9 2\r\nr1\r\n");
             assertThat(stub.hear()).isEqualTo("17 on 1 code 0 r1");
@@ -175,6 +186,50 @@
         }
     }
 
+    @Test
+    void indexThatClosesAnIdleConnectionIsReachedOnANewOne() throws IOException {
+        runtime.say("ready LOADED 3600000\r\n");
+        try (Stub stub = up()) {
+            stub.send(Frames.ticket(1, A, "place", "replay", "F"));
+            hears("start " + A + " place 4", 4, "body");
+            for (int notice = 1; notice <= 2; notice++) {
+                runtime.say("wants " + notice + " " + A + " 1\r\nx\r\n");
+                index.accept();
+                assertThat(index.hear()).startsWith("GET " + A);
+                index.hear(1);
+                index.say(A + " HIT 2\r\nok\r\n");
+                hears("give " + A + " 2", 2, "ok");
+                index.saysNoMore();
+                // The end of the connection is seen before the next call is made.
+                assertThat(index.hear()).isEqualTo("closed");
+            }
+        }
+    }
+
+    @Test
+    void idleConnectionIsAskedForNoNewTicketAndOneThatCrossesIsAnswered() throws Exception {
+        stop();
+        start("\"Upstreams\":9,\"KeepaliveMaxNs\":1000000,");
+        runtime.say("ready LOADED 3600000\r\n");
+        CompletableFuture<Void> runs = CompletableFuture.runAsync(() -> {
+            try {
+                hears("start " + A + " read 4", 4, "body");
+                runtime.say("end 1 " + A + " PASS 9 2\r\nr1\r\n");
+                runtime.hear();
+            } catch (IOException e) {
+                // Closed at the end of the test.
+            }
+        });
+        try (Stub stub = up()) {
+            assertThat(stub.hear()).isEqualTo("48 on 0");
+            stub.send(Frames.ticket(1, A, "read"));
+            assertThat(stub.hear()).isEqualTo("17 on 1 code 0 r1");
+            assertThat(stub.hear()).isEqualTo("closed");
+        }
+        service.leave();
+        runs.get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     void runtimeThatComesUpLateIsWaitedFor() throws IOException {
         try (Stub check = new Stub(port); Stub deep = new Stub(port); Stub stub = new Stub(port)) {
@@ -198,11 +253,25 @@
             service.leave();
             service.leave();
             assertThat(stub.hear()).isEqualTo("48 on 0");
+            // Refused, and not cut off later: nothing that was written can be lost.
+            assertThatThrownBy(() -> {
+                while (true) {
+                    new Stub(port).close();
+                }
+            }).isInstanceOf(ConnectException.class);
             runtime.say("end 1 " + A + " PASS 9 2\r\nr1\r\n");
             assertThat(stub.hear()).startsWith("17 on 1 code ");
             stub.close();
             assertThat(exit.get(20, TimeUnit.SECONDS)).isZero();
         }
+        // The address is free for the next at once.
+        CompletableFuture<Integer> nextExit = new CompletableFuture<>();
+        Service next = new Service(terms(""), nextExit::complete);
+        next.start();
+        runtime.accept();
+        assertThat(runtime.hear()).isEqualTo("sync 0");
+        next.leave();
+        assertThat(nextExit.get(20, TimeUnit.SECONDS)).isZero();
     }
 
     @Test
@@ -230,11 +299,11 @@
     @Test
     void addressInUseEndsTheProcessWithStatusOne() throws Exception {
         CompletableFuture<Integer> second = new CompletableFuture<>();
-        new Service(terms(), second::complete).start();
+        new Service(terms(""), second::complete).start();
         assertThat(second.get(20, TimeUnit.SECONDS)).isEqualTo(1);
     }
 
-    private ServiceTerms terms() {
+    private ServiceTerms terms(String extra) {
         return ServiceTerms.of("""
                 {"name":"n1","listen":"127.0.0.1:%d","runtime":"%s","control":"127.0.0.1:9","index":"%s",
                  "seed":"1","stop_ms":800,"settings":{"Classes":[
@@ -242,9 +311,9 @@
                  {"Name":"place","Idempotency":"keyed","TargetNs":20000000000,"DeadlineNs":30000000000,
                   "WindowNs":60000000000},
                  {"Name":"check","Idempotency":"safe","TargetNs":20000000000,"DeadlineNs":30000000000}],
-                 "Extra":{"Cores":4,"MemoryKb":100000,"Below":"next_hop","CallsByClass":[true,true,true],
+                 "Extra":{%s"Cores":4,"MemoryKb":100000,"Below":"next_hop","CallsByClass":[true,true,true],
                  "ClassSkipWorth":[0,0,0.5],"OwnStats":["core_use","on_cores"],"Say":"min_rank"},
-                 "Orgs":[{"Name":"acme"}]}}""".formatted(port, runtime.address(), index.address()), Map.of());
+                 "Orgs":[{"Name":"acme"}]}}""".formatted(port, runtime.address(), index.address(), extra), Map.of());
     }
 
     /** A caller, once the instance says that it is good. */
