--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -124,7 +124,7 @@
             return null;
         }
         Kept kept = fingerprinted ? fingerprints.find(a.fingerprint(), a.since()) : null;
-        boolean inHand = kept != null && byTicket.containsKey(kept.holder.ticket);
+        boolean inHand = kept != null && kept.holder != null && byTicket.containsKey(kept.holder.ticket);
         Ticket ticket = new Ticket(offering, customer, a.rank(), a.footprint(),
                 Math.max(0, clock.getAsDouble() - a.since()), 0, a.laterTry(), kept != null,
                 inHand ? kept.holder.ticket : null);
--- a/src/main/java/topazladder/service/Fingerprints.java
+++ b/src/main/java/topazladder/service/Fingerprints.java
@@ -13,7 +13,7 @@
     /** One remembered ticket: whichever try has the entry, and the result of the run once that is over. */
     static final class Kept {
         final String fingerprint;
-        InHand holder;
+        InHand holder; // null once the run is over: its body and its caller's connection are not kept
         double until;
         boolean over;
         byte[] result; // null if the run came to nothing, or was let go
@@ -60,6 +60,7 @@
 
     void runOver(Kept kept, byte[] result) {
         kept.over = true;
+        kept.holder = null;
         if (entries.get(kept.fingerprint) == kept && result != null && bytes + result.length <= MOST_BYTES) {
             kept.result = result;
             bytes += result.length;
