--- a/src/main/java/topazladder/net/IndexLink.java
+++ b/src/main/java/topazladder/net/IndexLink.java
@@ -18,11 +18,11 @@
 import topazladder.service.Counters;
 import topazladder.service.Counters.Count;
 import topazladder.service.Exchange;
-import topazladder.service.Index;
+import topazladder.service.IndexPort;
 import topazladder.ticket.Ending;
 
 /** The connection to the index, opened when a call needs it. */
-final class IndexLink implements Index {
+final class IndexLink implements IndexPort {
     private static final Logger LOG = LoggerFactory.getLogger(IndexLink.class);
     /** Sooner than the index does it, so that no call crosses the close: of one that did nothing is known. */
     private static final long IDLE_MS = 5000;
--- a/src/main/java/topazladder/net/RuntimeLink.java
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -22,10 +22,10 @@
 import topazladder.service.Counters.Count;
 import topazladder.service.Exchange;
 import topazladder.service.Instance;
-import topazladder.service.Runtime;
+import topazladder.service.RuntimePort;
 
 /** The link to the runtime: taken anew whenever it is lost, with nothing lost or doubled. */
-final class RuntimeLink implements Runtime {
+final class RuntimeLink implements RuntimePort {
     private static final Logger LOG = LoggerFactory.getLogger(RuntimeLink.class);
 
     private final Vertx vertx;
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -20,8 +20,8 @@
 /** Puts the parts of a real service instance together, all on one event loop. */
 public final class Service {
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
-    /** Kept back of the descriptors for runtime, index, control plane, the event loop and the jars. */
-    private static final int OTHER_DESCRIPTORS = 128;
+    /** Kept back of the descriptors: libraries, event loop and links hold 33, and callers may take half of few. */
+    private static final int OTHER_DESCRIPTORS = 48;
 
     private final ServiceTerms terms;
     private final Vertx vertx;
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -34,8 +34,8 @@
 
     private final DoubleSupplier clock;
     private final Terms terms;
-    private final Runtime runtime;
-    private final Index index;
+    private final RuntimePort runtime;
+    private final IndexPort index;
     private final Callers callers;
     private final Timers timers;
     private final Counters counters;
@@ -62,7 +62,7 @@
     private double wakePeriod;
     private int owed;
 
-    public Exchange(DoubleSupplier clock, Terms terms, Runtime runtime, Index index, Callers callers,
+    public Exchange(DoubleSupplier clock, Terms terms, RuntimePort runtime, IndexPort index, Callers callers,
                     Timers timers, Counters counters) {
         this.clock = clock;
         this.terms = terms;
--- a/src/main/java/topazladder/service/InHand.java
+++ b/src/main/java/topazladder/service/InHand.java
@@ -10,7 +10,6 @@
     final Ticket ticket;
     Kept kept; // its fingerprint, while that is remembered
     boolean answered; // or nobody waits for an answer
-    boolean started;
     long wantedBy; // the notice that asked for the call it waits for
     byte[] wanted;
     boolean calling;
--- a/src/main/java/topazladder/service/Index.java
+++ b/src/main/java/topazladder/service/IndexPort.java
@@ -1,7 +1,7 @@
 package topazladder.service;
 
 /** Makes the calls of runs to what lies below. */
-public interface Index {
+public interface IndexPort {
 
     void call(String ref, double patience, byte[] body);
 
--- a/src/main/java/topazladder/service/Runtime.java
+++ b/src/main/java/topazladder/service/RuntimePort.java
@@ -1,7 +1,7 @@
 package topazladder.service;
 
 /** Does the work, on the cores. Commands given while it can't be reached are kept for it. */
-public interface Runtime {
+public interface RuntimePort {
 
     void start(String ref, String offering, byte[] body);
 
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -36,8 +36,9 @@
 import topazladder.service.Counters;
 import topazladder.service.Exchange;
 import topazladder.service.InHand;
-import topazladder.service.Index;
+import topazladder.service.IndexPort;
 import topazladder.service.Instance;
+import topazladder.service.RuntimePort;
 import topazladder.service.Timers;
 import topazladder.ticket.Ending;
 import topazladder.ticket.Offering;
@@ -214,7 +215,7 @@
 }
 
 /** One exchange with stand-ins for all round it and a clock of its own, which writes down what passes through. */
-final class Floor implements topazladder.service.Runtime, Index, Callers, Timers {
+final class Floor implements RuntimePort, IndexPort, Callers, Timers {
     static final String SETTINGS = """
             Classes.count=3
             Classes.0.Name=read
