Take signals before the libraries load, so that an early one does not end the process as failed

At fault was Main, which took signals only after the event loop was built. No test holds it, as that would be timed to the machine.

--- a/src/main/java/topazladder/Main.java
+++ b/src/main/java/topazladder/Main.java
@@ -1,7 +1,10 @@
 package topazladder;
 
 import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 import topazladder.config.BadTerms;
 import topazladder.config.ServiceTerms;
 import topazladder.net.Service;
@@ -27,12 +30,20 @@
 
     /** Returns while the event loop goes on; the instance ends the process. */
     private static void serve() {
+        // First of all: a signal that comes while the libraries load would end the process as if it had failed.
+        AtomicReference<Service> service = new AtomicReference<>();
+        SignalHandler leave = s -> {
+            if (service.get() == null) {
+                System.exit(0); // nothing was read yet
+            }
+            service.get().leave();
+        };
+        Signal.handle(new Signal("TERM"), leave);
+        Signal.handle(new Signal("INT"), leave);
+        Signal.handle(new Signal("HUP"), s -> Optional.ofNullable(service.get()).ifPresent(Service::tell));
         try {
-            Service service = new Service(ServiceTerms.read(System.getenv()), System::exit);
-            Signal.handle(new Signal("TERM"), s -> service.leave());
-            Signal.handle(new Signal("INT"), s -> service.leave());
-            Signal.handle(new Signal("HUP"), s -> service.tell());
-            service.start();
+            service.set(new Service(ServiceTerms.read(System.getenv()), System::exit));
+            service.get().start();
         } catch (BadTerms e) {
             System.err.println("serve: " + e.getMessage());
             System.exit(2);
