--- a/src/test/java/topazladder/ServiceTest.java
+++ b/src/test/java/topazladder/ServiceTest.java
@@ -186,6 +186,32 @@
         }
     }
 
+    @Test
+    void runThatIsStoppedAtItsCallGivesTheCallUpAndOneNeverStartedIsBrokenOff() throws IOException {
+        runtime.say("ready LOADED 3600000\r\n");
+        try (Stub stub = up()) {
+            stub.send(Frames.ticket(1, A, "read"));
+            hears("start " + A + " read 4", 4, "body");
+            runtime.say("wants 1 " + A + " 1\r\nx\r\n");
+            index.accept();
+            assertThat(index.hear()).startsWith("GET " + A);
+            index.hear(1);
+            runtime.say("end 2 " + A + " KILLED 9 0\r\n\r\n");
+            assertThat(index.hear()).isEqualTo("STOP " + A);
+            assertThat(stub.hear()).isEqualTo("17 on 1 code 2");
+            // A reply that crosses its STOP changes nothing.
+            index.say(A + " HIT 2\r\nok\r\n");
+            stub.send(Frames.ticket(2, B, "read"));
+            hears("start " + B + " read 4", 4, "body");
+            runtime.say("nack start " + B + "\r\n");
+            assertThat(stub.hear()).isEqualTo("17 on 2 code 2");
+            stub.send(Frames.ticket(3, C, "read"));
+            hears("start " + C + " read 4", 4, "body");
+            runtime.say("info 3 all is well\r\nend 4 " + C + " NOOP 0 0\r\n\r\n");
+            assertThat(stub.hear()).isEqualTo("17 on 3 code 2");
+        }
+    }
+
     @Test
     void indexThatClosesAnIdleConnectionIsReachedOnANewOne() throws IOException {
         runtime.say("ready LOADED 3600000\r\n");
