Take a line of spaces and a reply without a tag as what can't be read

Seen in review: both ended in an index out of bounds inside the reader, which left the link standing with its other lines unread. At fault were the split in LineReader and the tag in RuntimeLink. The tests fail without the fix.

--- a/src/main/java/topazladder/net/RuntimeLink.java
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -153,7 +153,7 @@
             caughtUp = true;
             unacknowledged.all().forEach(c -> write(c.bytes()));
         } else {
-            unacknowledged.readUpTo(tag(load.tag().substring(1)));
+            unacknowledged.readUpTo(tag(load.tag().replaceFirst("^c", "")));
         }
         exchange.gaugesRead(load.values());
     }
--- a/src/main/java/topazladder/net/codec/LineReader.java
+++ b/src/main/java/topazladder/net/codec/LineReader.java
@@ -67,7 +67,8 @@
         if (length == 0 || unread.bytes[end - 1] != '\r') {
             throw new Malformed("a line that does not end in CR LF");
         }
-        words = new String(unread.bytes, unread.from, length - 1, StandardCharsets.UTF_8).split(" ");
+        // The limit keeps empty words: without it a line of spaces alone would have none, not even a first.
+        words = new String(unread.bytes, unread.from, length - 1, StandardCharsets.UTF_8).split(" ", -1);
         unread.from = end + 1;
         blob = blobs.after(words);
         if (blob > LONGEST_BLOB) {
--- a/src/test/java/topazladder/CodecTest.java
+++ b/src/test/java/topazladder/CodecTest.java
@@ -128,7 +128,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"hello\r\n", "ready FULL 3\r\n", "ready EMPTY\r\n", "end 1 9b1f GOOD 3 0\r\n\r\n",
         "end x 9b1f PASS 3 0\r\n\r\n", "end 1 9b1f PASS 3 2\r\nabc\r\n", "wants 1 9b1f -2\r\n", "load c1 NaN\r\n",
-        "ready EMPTY 3\n", "\r\n", "wants 1 9b1f 99999999\r\n"})
+        "ready EMPTY 3\n", "\r\n", " \r\n", "  \r\n", "wants 1 9b1f 99999999\r\n"})
     void linesThatAreNoNoticeAreMalformed(String said) {
         LineReader reader = RuntimeLines.reader();
         reader.feed(said.getBytes(StandardCharsets.UTF_8));
--- a/src/test/java/topazladder/ServiceTest.java
+++ b/src/test/java/topazladder/ServiceTest.java
@@ -158,7 +158,7 @@
     void lineThatIsNoNoticeMakesTheLinkAnew() throws IOException {
         runtime.say("ready LOADED 3600000\r\n");
         try (Stub stub = up()) {
-            runtime.say("good morning\r\n");
+            runtime.say("load  0.5 1\r\n   \r\n");
             runtime.accept();
             assertThat(runtime.hear()).isEqualTo("sync 0");
             runtime.say("ready LOADED 3600000\r\n");
