--- a/src/test/java/topazladder/ServiceTermsTest.java
+++ b/src/test/java/topazladder/ServiceTermsTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import topazladder.config.BadTerms;
 import topazladder.config.ServiceTerms;
 import topazladder.config.Terms;
@@ -86,6 +87,13 @@
                 .isInstanceOf(BadTerms.class).hasMessage(message);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"", "null", "[]", "7", "{\"name\"", "{} {}"})
+    void whatIsNoObjectIsTold(String text) {
+        assertThatThrownBy(() -> ServiceTerms.of(text, Map.of("GW_NAME", "n", "GW_LISTEN", "127.0.0.1:4100")))
+                .isInstanceOf(BadTerms.class);
+    }
+
     @Test
     void fileThatIsMissingIsTold() {
         assertThatThrownBy(() -> ServiceTerms.read(Map.of())).isInstanceOf(BadTerms.class)
