Reload on SIGHUP, one call a connection to the index, and part from bad callers

Changed: SIGHUP reads and checks the configuration as at start and moves to its addresses, the old runtime link given up once the new one is there; counters are logged on SIGUSR1. A connection to the index carries one call, one with an effect has a fresh connection, and each call ends by its own time. Whoever breaks the protocol, says nothing for 2 s or goes on with what can't be decided on loses all on its connection. A fingerprint with another body, and times past belief, are unusable. What the runtime never started is forgotten, so that another try may run. A remark's number no longer passes over notices. Reports go out four times a second.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -115,6 +115,7 @@
                 finished.add(1);
                 runTimes.get(c.offering).add(elapsed);
             }
+            c.ran &= !ending.neverRan(); // it may be run after all, by another try
             close(c);
         });
     }
--- a/src/main/java/topazladder/Main.java
+++ b/src/main/java/topazladder/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
@@ -40,10 +41,22 @@
         };
         Signal.handle(new Signal("TERM"), leave);
         Signal.handle(new Signal("INT"), leave);
-        Signal.handle(new Signal("HUP"), s -> Optional.ofNullable(service.get()).ifPresent(Service::tell));
+        // What is replaced while it is read for the first time is read again once there is who can move.
+        AtomicBoolean early = new AtomicBoolean();
+        Runnable reload = () -> service.get().reload(() -> ServiceTerms.read(System.getenv()));
+        Signal.handle(new Signal("HUP"), s -> {
+            early.set(true);
+            if (service.get() != null && early.getAndSet(false)) {
+                reload.run();
+            }
+        });
+        Signal.handle(new Signal("USR1"), s -> Optional.ofNullable(service.get()).ifPresent(Service::tell));
         try {
             service.set(new Service(ServiceTerms.read(System.getenv()), System::exit));
             service.get().start();
+            if (early.getAndSet(false)) {
+                reload.run();
+            }
         } catch (BadTerms e) {
             System.err.println("serve: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -1,5 +1,6 @@
 package topazladder.net;
 
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
@@ -18,11 +19,25 @@
 import topazladder.service.Exchange;
 import topazladder.service.InHand;
 
-/** One caller's connection, and the tickets that are open on it. */
+/**
+ * One caller's connection, and the tickets that are open on it. Whoever breaks the protocol on it is told so, and
+ * loses the connection with all that is open on it: what such a caller asked for earns nothing.
+ */
 final class CallerConnection {
     /** A caller that does not read gets nothing more read from it past this. */
     private static final int MOST_UNSENT = 64 << 10;
-
+    /** The protocol's bound on what is open on one connection. */
+    private static final int MOST_OPEN = 32;
+    /** One that can't be decided on may be a mistake; a caller that goes on so is told and left. */
+    private static final int MOST_UNUSABLE = 3;
+    /** Of tickets taken back since the last answer: twice what can be open at once is no loss of patience. */
+    private static final int MOST_TAKEN_BACK = 2 * MOST_OPEN;
+    /** What says nothing for so long, or stops within a message, is closed: others wait for its place. */
+    private static final long DUMB_NS = 2_000_000_000L;
+    /** Closed with bytes unread, a connection would be reset before its caller read why it is closed. */
+    private static final long PARTING_MS = 300;
+
+    private final Vertx vertx;
     private final NetSocket socket;
     private final Exchange exchange;
     private final Counters counters;
@@ -32,11 +47,17 @@
     private final Map<Long, Waiting> open = new HashMap<>();
     private long lastStream;
     private long lastUsed = System.nanoTime();
+    private long partFrom = lastUsed; // since when a message is awaited that has not come whole; 0 if none is
+    private int unusable;
+    private int takenBack;
+    private boolean proven; // a sound message came
     private boolean lastCall;
-    private boolean ending; // reads no more, and closes once nothing is open
+    private boolean parting; // what comes is no longer read
     private boolean closed;
 
-    CallerConnection(NetSocket socket, Exchange exchange, Counters counters, Consumer<CallerConnection> gone) {
+    CallerConnection(Vertx vertx, NetSocket socket, Exchange exchange, Counters counters,
+                     Consumer<CallerConnection> gone) {
+        this.vertx = vertx;
         this.socket = socket;
         this.exchange = exchange;
         this.counters = counters;
@@ -49,20 +70,24 @@
     }
 
     private void read(Buffer more) {
-        if (ending) {
+        if (parting) {
             return;
         }
         lastUsed = System.nanoTime();
         try {
             reader.feed(more.getBytes());
-            for (CallerMessage m = reader.next(); m != null && !closed; m = reader.next()) {
+            boolean whole = false;
+            for (CallerMessage m = reader.next(); m != null && !closed && !parting; m = reader.next()) {
+                whole = true;
                 take(m);
             }
+            if (reader.isEmpty()) {
+                partFrom = 0;
+            } else if (whole || partFrom == 0) {
+                partFrom = lastUsed;
+            }
         } catch (Malformed e) {
-            counters.add(Count.CONNECTIONS_ENDED_AS_MALFORMED);
-            write(CallerFrames.error(e.getMessage()));
-            ending = true;
-            endIfDone();
+            part(Count.CONNECTIONS_ENDED_AS_MALFORMED, e.getMessage());
         }
     }
 
@@ -71,21 +96,28 @@
             Waiting waiting = open.remove(message.stream());
             if (waiting != null) {
                 waiting.gone();
+                if (++takenBack > MOST_TAKEN_BACK) {
+                    part(Count.CONNECTIONS_ENDED_AS_TAKING_BACK, "too many requests taken back");
+                }
             }
             return;
         }
         if (message.stream() != 0 && message.stream() <= lastStream || open.containsKey(message.stream())) {
             throw new Malformed("stream " + message.stream() + " used twice");
         }
+        if (open.size() >= MOST_OPEN) {
+            part(Count.CONNECTIONS_ENDED_AS_OVERFULL, "more than " + MOST_OPEN + " requests open");
+            return;
+        }
         lastStream = message.stream();
         Waiting waiting = new Waiting(message.stream());
         open.put(message.stream(), waiting);
         if (message instanceof CallerMessage.Check check) {
+            proven = true;
             exchange.check(waiting, check.deep());
-            return;
-        }
-        if (message instanceof CallerMessage.Submitted submitted) {
+        } else if (message instanceof CallerMessage.Submitted submitted) {
             waiting.inHand = exchange.arrive(submitted.arrival(), waiting);
+            proven |= waiting.inHand != null;
         } else {
             exchange.unusable(waiting);
         }
@@ -113,7 +145,7 @@
 
     /** First it is told, so that no ticket crosses the close; what is open is never cut. */
     void closeIfIdle(double seconds) {
-        if (open.isEmpty() && System.nanoTime() - lastUsed > seconds * 1e9) {
+        if (!parting && open.isEmpty() && System.nanoTime() - lastUsed > seconds * 1e9) {
             if (lastCall) {
                 socket.close();
             } else {
@@ -122,10 +154,45 @@
         }
     }
 
-    private void endIfDone() {
-        if (ending && open.isEmpty()) {
-            socket.close();
+    /** What was never said, or said by half, ends it; what waits for an answer or between two tickets does not. */
+    void closeIfDumb(long now) {
+        if (!parting && partFrom != 0 && now - partFrom > DUMB_NS) {
+            part(proven ? Count.CONNECTIONS_ENDED_AS_HALF_SAID : Count.CONNECTIONS_ENDED_AS_SILENT,
+                    "no whole request in time");
+        }
+    }
+
+    /** Whether nothing is lost with it. */
+    boolean vacant() {
+        return open.isEmpty();
+    }
+
+    boolean proven() {
+        return proven && !parting;
+    }
+
+    long lastUsed() {
+        return lastUsed;
+    }
+
+    void cut() {
+        socket.close();
+        closed();
+    }
+
+    /** Its caller is told why; it ends once that can have been read, and nothing on it is answered any more. */
+    private void part(Count kind, String why) {
+        if (parting) {
+            return;
+        }
+        counters.add(kind);
+        parting = true;
+        for (Waiting waiting : List.copyOf(open.values())) {
+            waiting.answer(Answer.UNUSABLE);
+            waiting.gone();
         }
+        write(CallerFrames.error(why));
+        vertx.setTimer(PARTING_MS, id -> socket.close());
     }
 
     private void closed() {
@@ -149,15 +216,21 @@
 
         @Override public void answer(Answer answer) {
             if (open.remove(stream) != null) {
+                takenBack = 0;
                 write(CallerFrames.answer(stream, answer));
-                endIfDone();
+            }
+        }
+
+        @Override public void unusable(Answer answer) {
+            answer(answer);
+            if (++unusable >= MOST_UNUSABLE) {
+                part(Count.CONNECTIONS_ENDED_AS_UNUSABLE, "too many requests that can't be decided on");
             }
         }
 
         @Override public void health(boolean good, Double level) {
             if (open.remove(stream) != null) {
                 write(CallerFrames.health(stream, good, level));
-                endIfDone();
             }
         }
 
--- a/src/main/java/topazladder/net/CallerServer.java
+++ b/src/main/java/topazladder/net/CallerServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -16,7 +17,7 @@
 import topazladder.service.Counters.Count;
 import topazladder.service.Exchange;
 
-/** Listens for callers and keeps their connections. */
+/** Listens for callers and keeps their connections, so many and no more. */
 final class CallerServer implements Callers {
     /** Looks for idle connections no more often than this, however short they may idle. */
     private static final long LEAST_SWEEP_MS = 100;
@@ -50,19 +51,34 @@
     }
 
     private void connected(NetSocket socket) {
-        if (connections.size() >= most) {
+        if (connections.size() >= most && !makeRoom()) {
             counters.add(Count.CONNECTIONS_TURNED_AWAY);
             socket.close();
             return;
         }
         counters.add(Count.CONNECTIONS_TAKEN);
-        CallerConnection c = new CallerConnection(socket, exchange, counters, this::closed);
+        CallerConnection c = new CallerConnection(vertx, socket, exchange, counters, this::closed);
         connections.add(c);
         if (lastCall) {
             c.lastCall();
         }
     }
 
+    /**
+     * Whoever holds a connection with nothing open on it gives way to whoever comes: first those that have asked for
+     * nothing sound yet, or hundreds that say nothing would keep all others out; then the one idle for longest.
+     */
+    private boolean makeRoom() {
+        CallerConnection least = connections.stream().filter(CallerConnection::vacant)
+                .min(Comparator.comparing(CallerConnection::proven)
+                        .thenComparingLong(CallerConnection::lastUsed)).orElse(null);
+        if (least != null) {
+            counters.add(Count.CONNECTIONS_GIVEN_WAY);
+            least.cut();
+        }
+        return least != null;
+    }
+
     private void closed(CallerConnection c) {
         connections.remove(c);
     }
@@ -72,9 +88,13 @@
     }
 
     private void sweep() {
-        if (idle < Double.POSITIVE_INFINITY) {
-            List.copyOf(connections).forEach(c -> c.closeIfIdle(idle));
-        }
+        long now = System.nanoTime();
+        List.copyOf(connections).forEach(c -> {
+            c.closeIfDumb(now);
+            if (idle < Double.POSITIVE_INFINITY) {
+                c.closeIfIdle(idle);
+            }
+        });
     }
 
     @Override public void lastCall() {
--- a/src/main/java/topazladder/net/ControlPlane.java
+++ b/src/main/java/topazladder/net/ControlPlane.java
@@ -8,13 +8,16 @@
 
 /** Reports to the control plane that the instance lives; no answer comes, so that none is waited for. */
 final class ControlPlane {
-    /** A third of the time after which an instance is taken off the list: one lost report costs nothing. */
-    private static final long PERIOD_MS = 1000;
+    /**
+     * Twelve reports in the time after which an instance is taken off the list. At three, a quarter of them lost,
+     * one time in sixty-four had none, which is every few minutes.
+     */
+    private static final long PERIOD_MS = 250;
 
     private final Vertx vertx;
-    private final Address address;
     private final String name;
     private final DatagramSocket socket;
+    private Address address;
 
     ControlPlane(Vertx vertx, Address address, String name) {
         this.vertx = vertx;
@@ -28,6 +31,10 @@
         vertx.setPeriodic(PERIOD_MS, id -> report(instance));
     }
 
+    void move(Address to) {
+        address = to;
+    }
+
     private void report(Instance instance) {
         socket.send(Buffer.buffer("lease " + name + (instance.ready() ? " Ready" : " NotReady")),
                 address.port(), address.host());
--- a/src/main/java/topazladder/net/IndexLink.java
+++ b/src/main/java/topazladder/net/IndexLink.java
@@ -5,8 +5,11 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
-import java.util.LinkedHashMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -21,133 +24,284 @@
 import topazladder.service.IndexPort;
 import topazladder.ticket.Ending;
 
-/** The connection to the index, opened when a call needs it. */
+/**
+ * The connections to the index. One call at a time is on a connection, so that a spoilt reply costs no other
+ * call; each call ends by its own time, whatever the index does.
+ */
 final class IndexLink implements IndexPort {
     private static final Logger LOG = LoggerFactory.getLogger(IndexLink.class);
-    /** Sooner than the index does it, so that no call crosses the close: of one that did nothing is known. */
-    private static final long IDLE_MS = 5000;
+    /** Sooner than the index does it: of a call that crosses the close nothing is known. */
+    private static final long IDLE_MS = 2000;
+    /** What a reply in its time may need to come through, past the time that the index was told. */
+    private static final long REPLY_SLACK_MS = 20;
 
     private final Vertx vertx;
-    private final Address address;
+    private final int most;
     private final Counters counters;
     private final NetClient client;
-    /** Written and not replied to; emptied by replies, by calls given up and by the end of the connection. */
-    private final Set<String> written = new LinkedHashSet<>();
-    /** Wait for the connection; emptied as it opens or is refused. */
-    private final Map<String, byte[]> waiting = new LinkedHashMap<>();
+    /** By ref; emptied by replies, by calls given up, by their time and by the ends of their connections. */
+    private final Map<String, Call> calls = new HashMap<>();
+    /** Calls that wait for room among the connections; emptied as any of those ends, and by their own time. */
+    private final Deque<Call> queue = new ArrayDeque<>();
+    /** Every connection, also one being made; emptied as they close or are refused. */
+    private final Set<Line> lines = new LinkedHashSet<>();
+    /** The one used last is first; emptied by calls, by the sweep and as they close. */
+    private final Deque<Line> idle = new ArrayDeque<>();
+    private Address address;
     private Exchange exchange;
-    private NetSocket socket;
-    private LineReader reader;
-    private long lastUsed;
     private boolean reached = true;
 
-    /** @param address null where nothing lies below, so that no call can be made */
-    IndexLink(Vertx vertx, Address address, Counters counters) {
+    /**
+     * @param address null where nothing lies below, so that no call can be made
+     * @param most connections at once
+     */
+    IndexLink(Vertx vertx, Address address, int most, Counters counters) {
         this.vertx = vertx;
         this.address = address;
+        this.most = most;
         this.counters = counters;
         client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(1000));
     }
 
     void open(Exchange exchange) {
         this.exchange = exchange;
-        vertx.setPeriodic(IDLE_MS / 5, id -> {
-            if (socket != null && written.isEmpty() && System.nanoTime() - lastUsed > IDLE_MS * 1_000_000) {
-                NetSocket idle = socket;
-                socket = null;
-                idle.close();
-            }
+        vertx.setPeriodic(IDLE_MS / 4, id -> {
+            long now = System.nanoTime();
+            List.copyOf(idle).stream().filter(l -> now - l.lastUsed > IDLE_MS * 1_000_000).forEach(Line::end);
         });
     }
 
-    @Override public void call(String ref, double patience, byte[] body) {
-        byte[] get = IndexLines.get(ref, patience, body);
-        if (socket != null) {
-            written.add(ref);
-            write(get);
-            return;
+    /** New calls go to another address; those under way end where they are, if they can. */
+    void move(Address to) {
+        if (to == null ? address != null : !to.equals(address)) {
+            LOG.info("the index is at another address");
+            address = to;
+            List.copyOf(idle).forEach(Line::end);
         }
-        boolean connecting = !waiting.isEmpty();
-        waiting.put(ref, get);
+    }
+
+    @Override public void call(String ref, double patience, boolean repeatable, byte[] body) {
+        giveUp(ref);
+        Call call = new Call(ref, repeatable, patience, body);
+        calls.put(ref, call);
         if (address == null) {
-            vertx.runOnContext(v -> refused());
-        } else if (!connecting) {
-            client.connect(address.port(), address.host()).onComplete(this::connected, e -> refused());
+            vertx.runOnContext(v -> call.over(Ending.UNREACHED, null));
+            return;
         }
+        call.timer = vertx.setTimer(Math.max(1, Math.round(patience * 1000)) + REPLY_SLACK_MS, id -> call.tooLong());
+        place(call);
     }
 
     @Override public void giveUp(String ref) {
-        waiting.replace(ref, new byte[0]);
-        if (written.remove(ref)) {
-            write(IndexLines.stop(ref));
+        Call call = calls.get(ref);
+        if (call != null) {
+            call.leave();
         }
     }
 
-    private void connected(NetSocket s) {
-        if (!reached) {
-            LOG.info("the index is reached again");
-        }
-        reached = true;
-        socket = s;
-        reader = IndexLines.reader();
-        s.handler(more -> read(s, more));
-        s.exceptionHandler(e -> s.close());
-        s.closeHandler(v -> broke(s));
-        waiting.forEach((ref, get) -> {
-            if (get.length > 0) {
-                written.add(ref);
-                write(get);
+    private void place(Call call) {
+        // An idle connection may have been forgotten: a reset then looks like that of a call that ran. And a copy of
+        // a reply may come late, so that no ticket gets the connection it had before.
+        Line line = call.repeatable ? idle.stream().filter(l -> !l.lastRef.equals(call.ref)).findFirst().orElse(null)
+                : null;
+        if (line != null) {
+            idle.remove(line);
+            line.carry(call);
+        } else if (lines.size() < most) {
+            new Line(call).connect();
+        } else {
+            queue.add(call);
+            if (!idle.isEmpty()) {
+                idle.getLast().end();
             }
-        });
-        waiting.clear();
+        }
     }
 
-    /** Nothing was written, so that none of the calls ran. */
-    private void refused() {
-        if (reached) {
-            LOG.warn("the index can't be reached");
+    private void placeNext() {
+        Call next = queue.poll();
+        if (next != null) {
+            place(next);
         }
-        reached = false;
-        Set<String> refused = new LinkedHashSet<>(waiting.keySet());
-        waiting.clear();
-        refused.forEach(ref -> exchange.callEnded(ref, Ending.UNREACHED, null));
     }
 
-    /** Of the calls on the way nothing is known. */
-    private void broke(NetSocket s) {
-        if (socket != s) {
-            return;
+    /** One call, from the ruling to its end. */
+    private final class Call {
+        private final String ref;
+        private final boolean repeatable;
+        private final byte[] get;
+        private Line line; // null while it waits
+        private boolean written;
+        private long timer;
+
+        Call(String ref, boolean repeatable, double patience, byte[] body) {
+            this.ref = ref;
+            this.repeatable = repeatable;
+            get = IndexLines.get(ref, patience, body);
         }
-        socket = null;
-        if (!written.isEmpty()) {
-            counters.add(Count.LINKS_LOST);
-            LOG.warn("the connection to the index broke with {} calls on it", written.size());
+
+        /** It ends for this side; a connection that still owes a reply carries no other call. */
+        void leave() {
+            vertx.cancelTimer(timer);
+            calls.remove(ref, this);
+            queue.remove(this);
+            if (line != null) {
+                line.call = null;
+                line.end();
+            }
+        }
+
+        void over(Ending how, byte[] reply) {
+            if (calls.get(ref) == this) {
+                leave();
+                exchange.callEnded(ref, how, reply);
+            }
+        }
+
+        void tooLong() {
+            counters.add(Count.CALLS_TOO_LONG);
+            over(written ? Ending.ABANDONED : Ending.UNREACHED, null);
         }
-        Set<String> broken = new LinkedHashSet<>(written);
-        written.clear();
-        broken.forEach(ref -> exchange.callEnded(ref, Ending.BROKEN_OFF, null));
     }
 
-    private void read(NetSocket from, Buffer more) {
-        lastUsed = System.nanoTime();
-        try {
-            reader.feed(more.getBytes());
-            for (LineReader.Line l = reader.next(); l != null && socket == from; l = reader.next()) {
-                IndexLines.Reply r = IndexLines.reply(l);
-                // A reply may cross its STOP: the call is over all the same.
-                if (written.remove(r.ref())) {
-                    exchange.callEnded(r.ref(), r.how(), r.reply());
+    /** One connection, with at most one call on it. */
+    private final class Line {
+        private final Address to = address;
+        private final LineReader reader = IndexLines.reader();
+        private Call call;
+        private NetSocket socket; // null until it is connected
+        private String lastRef = "";
+        private long lastUsed = System.nanoTime();
+
+        Line(Call call) {
+            this.call = call;
+            call.line = this;
+            lines.add(this);
+        }
+
+        void connect() {
+            client.connect(to.port(), to.host()).onComplete(this::connected, e -> refused());
+        }
+
+        private void connected(NetSocket s) {
+            if (!reached) {
+                LOG.info("the index is reached again");
+            }
+            reached = true;
+            socket = s;
+            s.handler(this::read);
+            s.exceptionHandler(e -> s.close());
+            s.closeHandler(v -> broke());
+            Call first = call;
+            if (first == null || !to.equals(address)) {
+                // Given up meanwhile, or the index moved: nothing was written, so that the call may go elsewhere.
+                call = null;
+                end();
+                if (first != null) {
+                    first.line = null;
+                    place(first);
                 }
+            } else {
+                carry(first);
             }
-        } catch (Malformed e) {
-            counters.add(Count.LINES_UNREADABLE);
-            LOG.warn("the index sent what can't be read: {}", e.getMessage());
-            from.close();
         }
-    }
 
-    private void write(byte[] bytes) {
-        lastUsed = System.nanoTime();
-        socket.write(Buffer.buffer(bytes));
+        /** Nothing was written, so that the call did not run. */
+        private void refused() {
+            lines.remove(this);
+            Call refused = call;
+            call = null;
+            if (refused != null) {
+                refused.line = null;
+                if (!to.equals(address) && address != null) {
+                    place(refused);
+                } else {
+                    if (reached) {
+                        LOG.warn("the index can't be reached");
+                    }
+                    reached = false;
+                    refused.over(Ending.UNREACHED, null);
+                }
+            }
+            placeNext();
+        }
+
+        void carry(Call next) {
+            call = next;
+            next.line = this;
+            next.written = true;
+            lastRef = next.ref;
+            lastUsed = System.nanoTime();
+            socket.write(Buffer.buffer(next.get));
+        }
+
+        private void read(Buffer more) {
+            try {
+                reader.feed(more.getBytes());
+                for (LineReader.Line l = reader.next(); l != null; l = reader.next()) {
+                    IndexLines.Reply r = IndexLines.reply(l);
+                    if (call == null) {
+                        throw new Malformed("more than one reply");
+                    }
+                    if (r.ref().equals(call.ref)) {
+                        replied(r);
+                    } else {
+                        counters.add(Count.REPLIES_TO_NO_CALL);
+                    }
+                }
+                if (call == null && !reader.isEmpty()) {
+                    throw new Malformed("the start of another reply");
+                }
+            } catch (Malformed e) {
+                counters.add(Count.REPLIES_UNREADABLE);
+                end();
+            }
+        }
+
+        /** The line is free before the exchange hears of it, which may make the next call at once. */
+        private void replied(IndexLines.Reply r) {
+            Call done = call;
+            call = null;
+            done.line = null;
+            lastUsed = System.nanoTime();
+            // What came with the reply may be the start of a copy: seen by the reader of the rest.
+            vertx.runOnContext(v -> rest());
+            done.over(r.how(), r.reply());
+        }
+
+        private void rest() {
+            if (lines.contains(this) && call == null) {
+                if (to.equals(address)) {
+                    idle.addFirst(this);
+                } else {
+                    end();
+                }
+            }
+            placeNext();
+        }
+
+        /** Ends it, and with it the call on it. */
+        void end() {
+            idle.remove(this);
+            if (socket != null) {
+                socket.close();
+                broke();
+            }
+        }
+
+        /** Of a call that was written nothing is known. */
+        private void broke() {
+            idle.remove(this);
+            if (!lines.remove(this)) {
+                return;
+            }
+            Call broken = call;
+            call = null;
+            if (broken != null) {
+                counters.add(Count.CALLS_CUT_OFF);
+                broken.line = null;
+                broken.over(Ending.BROKEN_OFF, null);
+            }
+            placeNext();
+        }
     }
 }
--- a/src/main/java/topazladder/net/RuntimeLink.java
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -29,13 +29,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(RuntimeLink.class);
 
     private final Vertx vertx;
-    private final Address address;
     private final Counters counters;
     private final NetClient client;
     private final Backoff backoff = new Backoff();
     private final Unacknowledged unacknowledged = new Unacknowledged();
+    private Address address;
     private Exchange exchange;
     private Instance instance;
+    private int attempt; // the latest connect or wait for one; whatever an earlier one leads to is let go
     private NetSocket socket; // null while there is no link
     private LineReader reader;
     private long lastNotice;
@@ -62,13 +63,40 @@
         }
     }
 
+    /** The link at the old address is left once there is one at the new; it is of use until then. */
+    void move(Address to) {
+        if (!to.equals(address)) {
+            LOG.info("the runtime is at another address");
+            address = to;
+            backoff.reset();
+            if (exchange != null && !over) {
+                connect();
+            }
+        }
+    }
+
     private void connect() {
-        client.connect(address.port(), address.host()).onComplete(this::connected, e -> again());
+        int mine = ++attempt;
+        client.connect(address.port(), address.host()).onComplete(s -> {
+            if (mine == attempt && !over) {
+                connected(s);
+            } else {
+                s.close();
+            }
+        }, e -> {
+            if (mine == attempt) {
+                again();
+            }
+        });
     }
 
     private void connected(NetSocket s) {
+        NetSocket old = socket;
         socket = s;
         caughtUp = false;
+        if (old != null) {
+            old.close();
+        }
         reader = RuntimeLines.reader();
         s.handler(more -> read(s, more));
         s.exceptionHandler(e -> s.close());
@@ -79,6 +107,7 @@
     private void lost(NetSocket s) {
         if (socket == s) {
             socket = null;
+            caughtUp = false;
             if (!over) {
                 counters.add(Count.LINKS_LOST);
                 LOG.warn("the link to the runtime is lost after notice {}", lastNotice);
@@ -89,7 +118,12 @@
 
     private void again() {
         if (!over) {
-            vertx.setTimer(backoff.next(), id -> connect());
+            int mine = ++attempt;
+            vertx.setTimer(backoff.next(), id -> {
+                if (mine == attempt) {
+                    connect();
+                }
+            });
         }
     }
 
@@ -136,9 +170,8 @@
             } else {
                 counters.add(Count.COMMANDS_NOT_CARRIED_OUT);
             }
-        } else if (notice instanceof RuntimeLines.Info info) {
-            isNew(info.number());
         }
+        // A remark has no meaning, so that its number must not pass over a notice that has one.
     }
 
     /** A notice that was read before the link was lost may come again. */
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -8,8 +8,10 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntConsumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import topazladder.config.BadTerms;
 import topazladder.config.ServiceTerms;
 import topazladder.service.Counters;
 import topazladder.service.Counters.Count;
@@ -22,6 +24,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
     /** Kept back of the descriptors: libraries, event loop and links hold 33, and callers may take half of few. */
     private static final int OTHER_DESCRIPTORS = 48;
+    /** One in so many descriptors may be a connection to the index. */
+    private static final int INDEX_PART = 6;
 
     private final ServiceTerms terms;
     private final Vertx vertx;
@@ -42,9 +46,10 @@
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         vertx.exceptionHandler(this::fault);
-        callers = new CallerServer(vertx, Math.max(1, terms.sockets() - OTHER_DESCRIPTORS), counters);
+        int toIndex = Math.max(1, terms.sockets() / INDEX_PART);
+        callers = new CallerServer(vertx, Math.max(1, terms.sockets() - OTHER_DESCRIPTORS - toIndex), counters);
         runtime = new RuntimeLink(vertx, terms.runtime(), counters);
-        index = new IndexLink(vertx, terms.index(), counters);
+        index = new IndexLink(vertx, terms.index(), toIndex, counters);
         control = new ControlPlane(vertx, terms.control(), terms.name());
         DoubleSupplier clock = Service::unixSeconds;
         Timers timers = (seconds, what) -> vertx.setTimer(Math.max(1, Math.round(seconds * 1000)),
@@ -72,6 +77,25 @@
         onLoop(instance::leave);
     }
 
+    /** Moves to the addresses of the configuration as it is now, from any thread. One that is bad changes nothing. */
+    public void reload(Supplier<ServiceTerms> configuration) {
+        try {
+            ServiceTerms read = configuration.get();
+            onLoop(() -> {
+                counters.add(Count.CONFIGURATIONS_READ);
+                LOG.info("{} reads its configuration anew", terms.name());
+                runtime.move(read.runtime());
+                index.move(read.index());
+                control.move(read.control());
+            });
+        } catch (BadTerms e) {
+            onLoop(() -> {
+                counters.add(Count.CONFIGURATIONS_REFUSED);
+                LOG.error("the configuration stays as it was: {}", e.getMessage());
+            });
+        }
+    }
+
     /** Logs the counters and what is in hand, from any thread. */
     public void tell() {
         onLoop(this::tellCounters);
--- a/src/main/java/topazladder/net/codec/FrameReader.java
+++ b/src/main/java/topazladder/net/codec/FrameReader.java
@@ -29,6 +29,11 @@
         unread.add(more);
     }
 
+    /** Whether all that came was taken as whole messages. */
+    public boolean isEmpty() {
+        return skip == 0 && unread.size() == 0;
+    }
+
     /** The next whole message, or null until more bytes have come. */
     public CallerMessage next() throws Malformed {
         CallerMessage message = read();
--- a/src/main/java/topazladder/net/codec/IndexLines.java
+++ b/src/main/java/topazladder/net/codec/IndexLines.java
@@ -5,6 +5,8 @@
 
 /** The calls to the index, and its replies. */
 public final class IndexLines {
+    /** An id, a word and a length, with room to spare; past it a line is noise. */
+    private static final int LONGEST_LINE = 100;
 
     /** How a call ended; the reply is null unless it went well. */
     public record Reply(String ref, Ending how, byte[] reply) {
@@ -14,7 +16,7 @@
     }
 
     public static LineReader reader() {
-        return new LineReader(words -> words.length == 3 && words[1].equals("HIT")
+        return new LineReader(LONGEST_LINE, words -> words.length == 3 && words[1].equals("HIT")
                 ? LineReader.length(words[2]) : -1);
     }
 
@@ -38,8 +40,4 @@
         long ms = Math.max(1, Math.round(patience * 1000));
         return RuntimeLines.line("GET " + ref + " " + ms + " " + body.length, body);
     }
-
-    public static byte[] stop(String ref) {
-        return RuntimeLines.line("STOP " + ref);
-    }
 }
--- a/src/main/java/topazladder/net/codec/LineReader.java
+++ b/src/main/java/topazladder/net/codec/LineReader.java
@@ -5,8 +5,8 @@
 
 /** Reads lines of words ending in CR LF, some followed by as many bytes as their last word says and CR LF. */
 public final class LineReader {
-    private static final int LONGEST_LINE = 4096;
-    private static final int LONGEST_BLOB = 1 << 20;
+    /** Far past any body, result or reply; a length past it is not waited for, nor room made for it. */
+    private static final int LONGEST_BLOB = 1 << 16;
 
     /** How many bytes follow a line; under 0 if none, and no CR LF of theirs either. */
     public interface Blobs {
@@ -17,12 +17,14 @@
     public record Line(String[] words, byte[] blob) {
     }
 
+    private final int longestLine;
     private final Blobs blobs;
     private final Unread unread = new Unread();
     private String[] words; // of the line whose bytes have not all come
     private int blob;
 
-    public LineReader(Blobs blobs) {
+    public LineReader(int longestLine, Blobs blobs) {
+        this.longestLine = longestLine;
         this.blobs = blobs;
     }
 
@@ -30,6 +32,11 @@
         unread.add(more);
     }
 
+    /** Whether all that came was taken as whole messages. */
+    public boolean isEmpty() {
+        return words == null && unread.size() == 0;
+    }
+
     /** The next whole message, or null until more bytes have come. */
     public Line next() throws Malformed {
         if (words == null && !readWords()) {
@@ -55,10 +62,14 @@
     private boolean readWords() throws Malformed {
         int end = unread.from;
         while (end < unread.to && unread.bytes[end] != '\n') {
+            // Noise may hold no end of a line for long: told by the first byte that no line holds.
+            if (unread.bytes[end] >= 0 && unread.bytes[end] < ' ' && unread.bytes[end] != '\r') {
+                throw new Malformed("a line with a control character");
+            }
             end++;
         }
         int length = end - unread.from;
-        if (length > LONGEST_LINE) {
+        if (length > longestLine) {
             throw new Malformed("a line without an end");
         }
         if (end == unread.to) {
--- a/src/main/java/topazladder/net/codec/RuntimeLines.java
+++ b/src/main/java/topazladder/net/codec/RuntimeLines.java
@@ -7,6 +7,7 @@
 
 /** The commands to the runtime, and its notices. */
 public final class RuntimeLines {
+    private static final int LONGEST_LINE = 4096;
 
     /** What the runtime says. */
     public sealed interface Notice {
@@ -37,7 +38,7 @@
     }
 
     public static LineReader reader() {
-        return new LineReader(words -> switch (words[0]) {
+        return new LineReader(LONGEST_LINE, words -> switch (words[0]) {
             case "end" -> words.length == 6 ? LineReader.length(words[5]) : -1;
             case "wants" -> words.length == 4 ? LineReader.length(words[3]) : -1;
             default -> -1;
--- a/src/main/java/topazladder/service/Answer.java
+++ b/src/main/java/topazladder/service/Answer.java
@@ -9,5 +9,8 @@
  */
 public record Answer(How how, Double level, double stayAway, boolean notElsewhere, byte[] body) {
 
+    /** To a ticket that can't be decided on, by whoever is no judge of the level. */
+    public static final Answer UNUSABLE = new Answer(How.BROKEN_OFF, null, 0, false, new byte[0]);
+
     public enum How { HONOURED, DEFERRED, BROKEN_OFF }
 }
--- a/src/main/java/topazladder/service/Caller.java
+++ b/src/main/java/topazladder/service/Caller.java
@@ -5,6 +5,9 @@
 
     void answer(Answer answer);
 
+    /** The answer to what nobody can decide on or run, which a caller that keeps to the protocol never sends. */
+    void unusable(Answer answer);
+
     /** The answer to a check. */
     void health(boolean good, Double level);
 }
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -31,6 +32,8 @@
 public final class Exchange {
     private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
     private static final byte[] NOTHING = {};
+    /** Seconds by which a caller's clock may be ahead: it may be set while a ticket is on its way. */
+    private static final double MOST_AHEAD = 1;
 
     private final DoubleSupplier clock;
     private final Terms terms;
@@ -108,9 +111,9 @@
 
     /** Returns null if the ticket was answered at once because it can't be decided on. */
     public InHand arrive(Arrival a, Caller caller) {
-        counters.add(Count.TICKETS_TAKEN_IN);
         if (brain == null) {
             // Before the runtime is up nothing can have run, so that the caller may go elsewhere.
+            counters.add(Count.TICKETS_TAKEN_IN);
             counters.add(Count.DEFERRED);
             caller.answer(new Answer(How.DEFERRED, level, 0, false, NOTHING));
             return null;
@@ -118,17 +121,25 @@
         Offering offering = offerings.get(a.offering());
         Customer customer = a.customer() == null ? null : customers.get(a.customer());
         boolean fingerprinted = offering != null && offering.repeats() == Repeats.FINGERPRINTED;
+        double waited = clock.getAsDouble() - a.since();
         if (offering == null || customer == null && !customers.isEmpty() || byRef.containsKey(a.ref())
-                || fingerprinted != (a.fingerprint() != null)) {
+                || fingerprinted != (a.fingerprint() != null) || !possible(waited)) {
             unusable(caller);
             return null;
         }
+        byte[] digest = fingerprinted ? fingerprints.digest(a) : null;
         Kept kept = fingerprinted ? fingerprints.find(a.fingerprint(), a.since()) : null;
+        if (kept != null && !Arrays.equals(kept.digest, digest)) {
+            // No try of that ticket: its result belongs to another body, and run, the ticket would run twice.
+            unusable(caller);
+            return null;
+        }
         boolean inHand = kept != null && kept.holder != null && byTicket.containsKey(kept.holder.ticket);
         Ticket ticket = new Ticket(offering, customer, a.rank(), a.footprint(),
-                Math.max(0, clock.getAsDouble() - a.since()), 0, a.laterTry(), kept != null,
+                Math.max(0, waited), 0, a.laterTry(), kept != null,
                 inHand ? kept.holder.ticket : null);
-        InHand h = new InHand(a, caller, ticket, kept);
+        counters.add(Count.TICKETS_TAKEN_IN);
+        InHand h = new InHand(a, caller, ticket, kept, digest);
         byRef.put(a.ref(), h);
         byTicket.put(ticket, h);
         touched.add(h);
@@ -146,8 +157,15 @@
     /** A ticket in a sound frame that no decision can be made on: one answer, and it never reaches the module. */
     public void unusable(Caller caller) {
         counters.add(Count.TICKETS_UNUSABLE);
-        counters.add(Count.BROKEN_OFF);
-        caller.answer(new Answer(How.BROKEN_OFF, level, 0, false, NOTHING));
+        caller.unusable(Answer.UNUSABLE);
+    }
+
+    /**
+     * Whether a ticket can have waited so long: all share one clock, and a pause or a crowd before the door lasts less
+     * than two outer limits. Believed, one time of years would count as the wait of all.
+     */
+    private boolean possible(double waited) {
+        return waited > -MOST_AHEAD && waited < 2 * longestLimit;
     }
 
     public void callerGone(InHand h) {
@@ -238,11 +256,17 @@
         }
     }
 
-    /** The runtime knows nothing of the ticket, so that its run can't end either. */
+    /** The runtime knows no such ticket: it never ran, and a caller that keeps to the protocol did not send it. */
     public void notStarted(String ref) {
-        LOG.warn("the runtime did not start a ticket that it was told to start");
         counters.add(Count.COMMANDS_NOT_CARRIED_OUT);
-        runEnded(ref, Ending.FAILED, 0, null);
+        InHand h = byRef.get(ref);
+        if (h != null && !h.answered) {
+            h.answered = true;
+            owed--;
+            counters.add(Count.BROKEN_OFF);
+            h.caller.unusable(new Answer(How.BROKEN_OFF, level, 0, false, NOTHING));
+        }
+        runEnded(ref, Ending.MOOT, 0, null);
     }
 
     // ---- The index's side
@@ -318,7 +342,7 @@
                 counters.add(Count.CALLS_MADE);
                 h.calling = true;
                 h.calledAt = clock.getAsDouble();
-                index.call(h.arrival.ref(), r.number(), h.wanted);
+                index.call(h.arrival.ref(), r.number(), h.ticket.offering().repeats() == Repeats.RETRIABLE, h.wanted);
             }
             case DO_WITHOUT -> {
                 counters.add(Count.CALLS_LEFT_OUT);
--- a/src/main/java/topazladder/service/Fingerprints.java
+++ b/src/main/java/topazladder/service/Fingerprints.java
@@ -1,5 +1,8 @@
 package topazladder.service;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -13,21 +16,39 @@
     /** One remembered ticket: whichever try has the entry, and the result of the run once that is over. */
     static final class Kept {
         final String fingerprint;
+        final byte[] digest;
         InHand holder; // null once the run is over: its body and its caller's connection are not kept
         double until;
         boolean over;
         byte[] result; // null if the run came to nothing, or was let go
         final List<InHand> joined = new ArrayList<>(0); // wait for the end of the run; emptied by it
 
-        Kept(String fingerprint) {
+        Kept(String fingerprint, byte[] digest) {
             this.fingerprint = fingerprint;
+            this.digest = digest;
         }
     }
 
     /** Emptied by FORGET, and by the sweep once no try of the window can still be unread. */
     private final Map<String, Kept> entries = new HashMap<>();
+    private final MessageDigest hash;
     private int bytes;
 
+    Fingerprints() {
+        try {
+            hash = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    /** The same for all tries of one ticket, and no other: kept in place of the body. */
+    byte[] digest(Arrival a) {
+        hash.update(a.offering().getBytes(StandardCharsets.UTF_8));
+        hash.update((byte) 0);
+        return hash.digest(a.body());
+    }
+
     /** A try counts by when it came, not by when it is read: a pause may lie between. */
     Kept find(String fingerprint, double since) {
         Kept kept = entries.get(fingerprint);
@@ -44,7 +65,7 @@
             bytes -= size(old);
         }
         if (holder.kept == null) {
-            holder.kept = new Kept(fingerprint);
+            holder.kept = new Kept(fingerprint, holder.digest);
         }
         holder.kept.holder = holder;
         holder.kept.until = until;
