Read nothing of whoever is parted from, and ask idle callers to leave before the table is full

Checked: a closed channel is given back only at the next turn of the selector, so 48 spare descriptors were too few; the table was filled by those who stayed, so that idle connections were cut which a ticket was crossing; a connection parted from was read for 300 ms at the full speed of its client. At fault: CallerServer.makeRoom alone, CallerConnection.read, Service.OTHER_DESCRIPTORS. Now 96 are kept back, callers idle past half a second are told of the last call at seven tenths of the table, and a parted connection is paused.

--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -36,6 +36,8 @@
     private static final long DUMB_NS = 2_000_000_000L;
     /** Closed with bytes unread, a connection would be reset before its caller read why it is closed. */
     private static final long PARTING_MS = 300;
+    /** By then a caller that was told of the last call has heard it, and closes by itself if it ever will. */
+    private static final double TOLD_NS = 5e8;
 
     private final Vertx vertx;
     private final NetSocket socket;
@@ -51,8 +53,9 @@
     private int unusable;
     private int takenBack;
     private boolean proven; // a sound message came
-    private boolean lastCall;
-    private boolean parting; // what comes is no longer read
+    private int asked;
+    private long lastCallAt; // 0 until it was told that no new ticket is wanted
+    private boolean parting; // nothing more is read
     private boolean closed;
 
     CallerConnection(Vertx vertx, NetSocket socket, Exchange exchange, Counters counters,
@@ -71,7 +74,7 @@
 
     private void read(Buffer more) {
         if (parting) {
-            return;
+            return; // was under way when it was paused
         }
         lastUsed = System.nanoTime();
         try {
@@ -118,6 +121,7 @@
         } else if (message instanceof CallerMessage.Submitted submitted) {
             waiting.inHand = exchange.arrive(submitted.arrival(), waiting);
             proven |= waiting.inHand != null;
+            asked++;
         } else {
             exchange.unusable(waiting);
         }
@@ -137,19 +141,19 @@
 
     /** Asks for no new ticket; the caller closes once all is answered, or is closed on when idle. */
     void lastCall() {
-        if (!lastCall) {
-            lastCall = true;
-            write(CallerFrames.noNewTicket());
+        if (lastCallAt == 0) {
+            lastCallAt = System.nanoTime();
+            socket.write(Buffer.buffer(CallerFrames.noNewTicket()));
         }
     }
 
     /** First it is told, so that no ticket crosses the close; what is open is never cut. */
-    void closeIfIdle(double seconds) {
-        if (!parting && open.isEmpty() && System.nanoTime() - lastUsed > seconds * 1e9) {
-            if (lastCall) {
-                socket.close();
-            } else {
+    void closeIfIdle(double seconds, long now) {
+        if (!parting && open.isEmpty() && now - lastUsed > seconds * 1e9) {
+            if (lastCallAt == 0) {
                 lastCall();
+            } else if (now - lastCallAt > Math.min(seconds * 1e9, TOLD_NS)) {
+                socket.close();
             }
         }
     }
@@ -167,8 +171,9 @@
         return open.isEmpty();
     }
 
-    boolean proven() {
-        return proven && !parting;
+    /** What it has been good for: a caller that came again is likelier to come once more than one that did not. */
+    int standing() {
+        return parting || !proven ? 0 : lastCallAt != 0 ? 1 : asked <= 1 ? 2 : 3;
     }
 
     long lastUsed() {
@@ -192,6 +197,9 @@
             waiting.gone();
         }
         write(CallerFrames.error(why));
+        // It may send at full speed, and reading what nobody takes would cost the others their time.
+        socket.drainHandler(null);
+        socket.pause();
         vertx.setTimer(PARTING_MS, id -> socket.close());
     }
 
--- a/src/main/java/topazladder/net/CallerServer.java
+++ b/src/main/java/topazladder/net/CallerServer.java
@@ -25,6 +25,13 @@
     /** Past any time from the notice to the kill: the instance ends before its server does. */
     private static final long LONGEST_SHUTDOWN_S = 3600;
 
+    /** Past this part of the table those of least use are asked to leave, so that none need be cut. */
+    private static final double FILLED = 0.7;
+    /** Seconds: between two tickets of a busy caller lies less. */
+    private static final double LEAST_IDLE = 0.5;
+    private static final Comparator<CallerConnection> LEAST_FIRST =
+            Comparator.comparingInt(CallerConnection::standing).thenComparingLong(CallerConnection::lastUsed);
+
     private final Vertx vertx;
     private final Counters counters;
     private final int most;
@@ -69,9 +76,7 @@
      * nothing sound yet, or hundreds that say nothing would keep all others out; then the one idle for longest.
      */
     private boolean makeRoom() {
-        CallerConnection least = connections.stream().filter(CallerConnection::vacant)
-                .min(Comparator.comparing(CallerConnection::proven)
-                        .thenComparingLong(CallerConnection::lastUsed)).orElse(null);
+        CallerConnection least = connections.stream().filter(CallerConnection::vacant).min(LEAST_FIRST).orElse(null);
         if (least != null) {
             counters.add(Count.CONNECTIONS_GIVEN_WAY);
             least.cut();
@@ -92,9 +97,14 @@
         List.copyOf(connections).forEach(c -> {
             c.closeIfDumb(now);
             if (idle < Double.POSITIVE_INFINITY) {
-                c.closeIfIdle(idle);
+                c.closeIfIdle(idle, now);
             }
         });
+        long tooMany = connections.size() - Math.round(most * FILLED);
+        if (tooMany > 0) {
+            connections.stream().filter(CallerConnection::vacant).sorted(LEAST_FIRST).limit(tooMany).toList()
+                    .forEach(c -> c.closeIfIdle(LEAST_IDLE, now));
+        }
     }
 
     @Override public void lastCall() {
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -22,10 +22,13 @@
 /** Puts the parts of a real service instance together, all on one event loop. */
 public final class Service {
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
-    /** Kept back of the descriptors: libraries, event loop and links hold 33, and callers may take half of few. */
-    private static final int OTHER_DESCRIPTORS = 48;
+    /**
+     * Kept back of the descriptors: libraries, event loop and links hold 33, and a closed one is given back only
+     * when the event loop comes round again. None left, nobody would be taken for a second.
+     */
+    private static final int OTHER_DESCRIPTORS = 96;
     /** One in so many descriptors may be a connection to the index. */
-    private static final int INDEX_PART = 6;
+    private static final int INDEX_PART = 8;
 
     private final ServiceTerms terms;
     private final Vertx vertx;
