--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -726,7 +726,10 @@
                         parked.remove(c);
                         move(c, Place.CALLING);
                         inHand++;
-                        rulings.add(Ruling.of(What.CALL, c.ticket, c.useful - now));
+                        // What never comes back must leave time to ask again, where that may be done.
+                        boolean once = c.offering.repeats() != Repeats.RETRIABLE || longTime.seen < longTime.most;
+                        rulings.add(Ruling.of(What.CALL, c.ticket,
+                                Math.min(c.useful - now, once ? c.useful : 4 * longTime.value)));
                     } else if (now - c.waitingSince > callTime.value && c.offering.poorerShare() > 0) {
                         without(c);
                     }
@@ -756,7 +759,9 @@
                 follow(elapsed / quickest);
                 cores.resume(c);
             } else {
-                follow(4); // a failure tells of a crowd below as the longest call does
+                // A failure tells of a crowd below as the longest call does; a spoilt connection tells nothing.
+                boolean spoilt = ending == Ending.BROKEN_OFF;
+                follow(spoilt ? strain.value : 4);
                 if (ending == Ending.ABANDONED) {
                     lingering.add(now + term("call-lingers", 0.0));
                     callTime.add(elapsed);
@@ -767,9 +772,9 @@
                 }
                 boolean again = ending.neverRan()
                         || c.offering.repeats() == Repeats.RETRIABLE && ending != Ending.ABANDONED;
-                if (again && c.offering.poorerShare() == 0) {
+                if (again && (c.offering.poorerShare() == 0 || spoilt && c.tries == 0)) {
                     // Turned away and asked again at once, a few tickets would read the tier below to death.
-                    double wait = Math.max(period, callTime.value) * ++c.tries;
+                    double wait = (spoilt ? 0 : Math.max(period, callTime.value)) * ++c.tries;
                     c.callAgainAt = now + wait * (0.5 + chance.nextDouble());
                     take(c);
                 } else {
--- a/src/main/java/topazladder/net/IndexLink.java
+++ b/src/main/java/topazladder/net/IndexLink.java
@@ -159,7 +159,8 @@
 
         void tooLong() {
             counters.add(Count.CALLS_TOO_LONG);
-            over(written ? Ending.ABANDONED : Ending.UNREACHED, null);
+            // The index knows how long it is waited for and says when that is over; silence is the connection's.
+            over(written ? Ending.BROKEN_OFF : Ending.UNREACHED, null);
         }
     }
 
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -87,6 +87,17 @@
                 .arrive("b", READ, 0.2, 2.5, "gone").arrive("c", READ, 0.2, 2.5, null).matches("walking-on");
     }
 
+    @Test
+    void spoiltCallIsMadeAgainOnceWhereThatMayBeDoneAndWaitedForNoLongerThanFourTimesTheUsual() {
+        Desk desk = new Desk().with("cores", 4.0).with("memory", 10000.0).open();
+        for (int i = 0; i < 40; i++) {
+            desk.quietly(d -> d.arrive("w", READ).wantsCall("w").callEnds("w", Ending.OK, 0.1)
+                    .runEnds("w", Ending.OK));
+        }
+        desk.arrive("a", READ).wantsCall("a").callEnds("a", Ending.BROKEN_OFF).callEnds("a", Ending.BROKEN_OFF)
+                .arrive("b", ISSUE).wantsCall("b").callEnds("b", Ending.BROKEN_OFF).matches("spoilt");
+    }
+
     @Test
     void callsArePacedWhileTheyTakeLongAndThoseThatCanBeLeftOutGiveWay() {
         Desk desk = new Desk().with("below", "common").with("calls-share", 1.0).with("calls-span", 5.0)
