--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -720,8 +720,8 @@
         void pump() {
             for (Case c : List.copyOf(parked)) {
                 if (c.place == Place.PARKED && !c.answered && now >= c.callAgainAt) {
-                    // Given up it earns nothing, and with no call made an old belief in slow ones would stand.
-                    if (now + (c.offering.poorerShare() > 0 ? callTime.value : 0) >= c.useful) {
+                    // One is always made: with none made, an old belief in slow ones would stand.
+                    if (now + (inHand > 0 ? callTime.value : 0) >= c.useful) {
                         without(c);
                     } else if (allowed(c)) {
                         parked.remove(c);
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -24,9 +24,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
     /**
      * Kept back of the descriptors: libraries, event loop and links hold 33, and a closed one is given back only
-     * when the event loop comes round again. None left, nobody would be taken for a second.
+     * when the event loop comes round again, while another thread goes on accepting. None left, nobody would be taken
+     * for a second.
      */
-    private static final int OTHER_DESCRIPTORS = 96;
+    private static final int OTHER_DESCRIPTORS = 128;
     /** One in so many descriptors may be a connection to the index. */
     private static final int INDEX_PART = 8;
 
