--- a/src/main/java/topazladder/net/RuntimeLink.java
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -108,6 +108,7 @@
         if (socket == s) {
             socket = null;
             caughtUp = false;
+            exchange.runtimeLost();
             if (!over) {
                 counters.add(Count.LINKS_LOST);
                 LOG.warn("the link to the runtime is lost after notice {}", lastNotice);
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -208,6 +208,11 @@
         }
     }
 
+    /** What the gauges said last is of a moment that passes; without any the module goes by its own counts. */
+    public void runtimeLost() {
+        gauges = Map.of();
+    }
+
     public void verdict(long tag, boolean passed) {
         Caller caller = checks.remove(tag);
         if (caller != null) {
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -261,6 +261,7 @@
     private double now = 1000;
     private int order;
     private boolean quiet;
+    private boolean deaf;
 
     Floor() {
         exchange = new Exchange(() -> now, Terms.ofLines(SETTINGS), this, this, this, this, counters);
@@ -325,6 +326,15 @@
         return does("verdict " + tag, () -> exchange.verdict(tag, passed));
     }
 
+    Floor linkLost() {
+        deaf = true;
+        return does("the link to the runtime is lost", exchange::runtimeLost);
+    }
+
+    Floor inHand() {
+        return does(exchange.toString(), () -> { });
+    }
+
     Floor leave() {
         return does("notice to leave", instance::leave);
     }
@@ -405,7 +415,9 @@
     }
 
     @Override public void askGauges() {
-        exchange.gaugesRead(new double[] {1, 2});
+        if (!deaf) {
+            exchange.gaugesRead(new double[] {1, 2});
+        }
     }
 
     @Override public void askWhetherWorkGetsDone(long tag) {
--- a/src/test/java/topazladder/ExchangeTest.java
+++ b/src/test/java/topazladder/ExchangeTest.java
@@ -92,6 +92,11 @@
                 .matches("service-pause");
     }
 
+    @Test
+    void gaugesOfALostLinkAreNotTakenForFresh() {
+        new Floor().open().until(0.2).inHand().linkLost().until(0.4).inHand().matches("service-gauges");
+    }
+
     @Test
     void deepCheckAsksTheRuntimeUntilTheModuleRulesOnHealth() {
         new Floor().listens().check("h1", true).check("h2", false).verdict(1, true).verdict(1, true).open()
--- a/src/test/java/topazladder/ServiceTest.java
+++ b/src/test/java/topazladder/ServiceTest.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.Arrays;
@@ -32,6 +34,7 @@
     private Peer index;
     private int port;
     private int sockets;
+    private int control = 9;
     private Service service;
 
     @BeforeEach
@@ -172,7 +175,7 @@
     @Test
     void fullTableTakesWhoComesInPlaceOfWhoSaysNothing() throws Exception {
         stop();
-        startWith("", 149);
+        startWith("", 148);
         runtime.say("ready LOADED 3600000\r\n");
         try (Stub busy = up().send(Frames.ticket(1, A, "read"))) {
             hears("start " + A + " read 4", 4, "body");
@@ -190,7 +193,8 @@
     @Test
     void reloadMovesToNewAddressesWithAllUnderWayAndABadOneChangesNothing() throws Exception {
         runtime.say("ready LOADED 3600000\r\n");
-        try (Stub stub = up(); Peer old = runtime; Peer oldIndex = index) {
+        try (Stub stub = up(); Peer old = runtime; Peer oldIndex = index; DatagramSocket plane =
+                new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             stub.send(Frames.ticket(1, A, "place", "replay", "F"));
             hears("start " + A + " place 4", 4, "body");
             runtime.say("wants 1 " + A + " 1\r\nx\r\n");
@@ -202,7 +206,12 @@
             });
             runtime = new Peer();
             index = new Peer();
+            control = plane.getLocalPort();
             service.reload(() -> terms(""));
+            DatagramPacket report = new DatagramPacket(new byte[99], 99);
+            plane.setSoTimeout(20_000);
+            plane.receive(report);
+            assertThat(new String(report.getData(), 0, report.getLength())).isEqualTo("lease n1 Ready");
             runtime.accept();
             assertThat(runtime.hear()).isEqualTo("sync 1");
             assertThat(old.hear()).isEqualTo("closed");
@@ -471,7 +480,7 @@
 
     private ServiceTerms terms(String extra) {
         return ServiceTerms.of("""
-                {"name":"n1","listen":"127.0.0.1:%d","runtime":"%s","control":"127.0.0.1:9","index":"%s",
+                {"name":"n1","listen":"127.0.0.1:%d","runtime":"%s","control":"127.0.0.1:%d","index":"%s",
                  "seed":"1","stop_ms":800,"limits":{"sockets":%d},"settings":{"Classes":[
                  {"Name":"read","Idempotency":"safe","TargetNs":20000000000,"DeadlineNs":30000000000},
                  {"Name":"place","Idempotency":"keyed","TargetNs":20000000000,"DeadlineNs":30000000000,
@@ -479,8 +488,8 @@
                  {"Name":"check","Idempotency":"safe","TargetNs":20000000000,"DeadlineNs":30000000000}],
                  "Extra":{%s"Cores":4,"MemoryKb":100000,"Below":"next_hop","CallsByClass":[true,true,true],
                  "ClassSkipWorth":[0,0,0.5],"OwnStats":["core_use","on_cores"],"Say":"min_rank"},
-                 "Orgs":[{"Name":"acme"}]}}""".formatted(port, runtime.address(), index.address(),
-                sockets, extra), Map.of());
+                 "Orgs":[{"Name":"acme"}]}}""".formatted(port, runtime.address(), control,
+                index.address(), sockets, extra), Map.of());
     }
 
     /** A caller, once the instance says that it is good. */
