Hold back the thread that accepts connections while so many are open

Seen: in the worst five seconds 45 of 100 attempts failed, 512 of 512 descriptors, 'Too many open files' in the log, and by the counters 3100 connections an instance in 16 s, half of them with a check. Checked: CallerServer counts what the event loop has been told of, but Vert.x accepts on a thread of its own, which goes on while the loop stands. The gate holds that thread back and leaves newcomers with the system.

--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -24,10 +24,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
     /**
      * Kept back of the descriptors: libraries, event loop and links hold 33, and a closed one is given back only
-     * when the event loop comes round again, while another thread goes on accepting. None left, nobody would be taken
-     * for a second.
+     * when the event loop comes round again. None left, nobody would be taken for a second.
      */
     private static final int OTHER_DESCRIPTORS = 128;
+    /** Accepted, and not yet known to the event loop. */
+    private static final int NEWCOMERS = 24;
     /** One in so many descriptors may be a connection to the index. */
     private static final int INDEX_PART = 8;
 
@@ -46,12 +47,13 @@
     public Service(ServiceTerms terms, IntConsumer exit) {
         this.terms = terms;
         this.exit = exit;
-        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+        int toIndex = Math.max(1, terms.sockets() / INDEX_PART);
+        int toCallers = Math.max(1, terms.sockets() - OTHER_DESCRIPTORS - toIndex);
+        vertx = Vertx.builder().withTransport(new AcceptGate(toCallers + NEWCOMERS)).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
         vertx.exceptionHandler(this::fault);
-        int toIndex = Math.max(1, terms.sockets() / INDEX_PART);
-        callers = new CallerServer(vertx, Math.max(1, terms.sockets() - OTHER_DESCRIPTORS - toIndex), counters);
+        callers = new CallerServer(vertx, toCallers, counters);
         runtime = new RuntimeLink(vertx, terms.runtime(), counters);
         index = new IndexLink(vertx, terms.index(), toIndex, counters);
         control = new ControlPlane(vertx, terms.control(), terms.name());
--- a/src/test/java/topazladder/ServiceTest.java
+++ b/src/test/java/topazladder/ServiceTest.java
@@ -9,7 +9,9 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -464,6 +466,24 @@
         }
     }
 
+    @Test
+    void connectionsPastTheFullTableWaitForRoomAndAllAreTaken() throws Exception {
+        stop();
+        startWith("", 148);
+        runtime.say("ready LOADED 3600000\r\n");
+        List<Stub> stubs = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            stubs.add(new Stub(port));
+        }
+        try (Stub last = new Stub(port)) {
+            last.send(Frames.ticket(1, A, "read"));
+            hears("start " + A + " read 4", 4, "body");
+        }
+        for (Stub stub : stubs) {
+            stub.close();
+        }
+    }
+
     @Test
     void rehearsalAnswersAllItsTicketsAndLeavesTheInstanceToStart() throws IOException {
         assertThat(Rehearsal.play(terms(""))).isEqualTo(Rehearsal.TICKETS);
