--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -728,7 +728,8 @@
                         move(c, Place.CALLING);
                         inHand++;
                         // What never comes back must leave time to ask again, where that may be done.
-                        boolean once = c.offering.repeats() != Repeats.RETRIABLE || longTime.seen < longTime.most;
+                        boolean once = c.offering.repeats() != Repeats.RETRIABLE
+                                || longTime.seen < longTime.most;
                         rulings.add(Ruling.of(What.CALL, c.ticket,
                                 Math.min(c.useful - now, once ? c.useful : 4 * longTime.value)));
                     } else if (now - c.waitingSince > callTime.value && c.offering.poorerShare() > 0) {
@@ -760,7 +761,7 @@
                 follow(elapsed / quickest);
                 cores.resume(c);
             } else {
-                // A failure tells of a crowd below as the longest call does; a spoilt connection tells nothing.
+                // A failure tells of a crowd below as the longest call does, a spoilt connection of none.
                 boolean spoilt = ending == Ending.BROKEN_OFF;
                 follow(spoilt ? strain.value : 4);
                 if (ending == Ending.ABANDONED) {
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -49,7 +49,8 @@
         this.exit = exit;
         int toIndex = Math.max(1, terms.sockets() / INDEX_PART);
         int toCallers = Math.max(1, terms.sockets() - OTHER_DESCRIPTORS - toIndex);
-        vertx = Vertx.builder().withTransport(new AcceptGate(toCallers + NEWCOMERS)).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+        vertx = Vertx.builder().withTransport(new AcceptGate(toCallers + NEWCOMERS))
+                .with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
         vertx.exceptionHandler(this::fault);
--- a/src/test/java/topazladder/ExchangeTest.java
+++ b/src/test/java/topazladder/ExchangeTest.java
@@ -82,7 +82,8 @@
         new Floor().open().arrive("a", "unheard-of", null).arrive("b", "read", null, 1000, "nobody")
                 .arrive("c", "read", "F").arrive("d", "place", null).arrive("e", "read", null)
                 .arrive("e", "read", null).arrive("long-ago", "read", null, 1, "acme")
-                .arrive("ahead", "read", null, 2000, "acme").ends("nobody", Ending.OK, "x").countsAndPhase().matches("service-unusable");
+                .arrive("ahead", "read", null, 2000, "acme")
+                .ends("nobody", Ending.OK, "x").countsAndPhase().matches("service-unusable");
     }
 
     @Test
