Learn from a peer: knowledge that ages and merges, asking and giving on an address of its own

A cold instance treats everything as unknown. Settings are protobuf text format, the command line is picocli; both libraries stay off the class path of the plain program. With nothing handed in the module rules as before, by a trace recorded before the change.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -14,6 +14,8 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import topazladder.ticket.Ending;
+import topazladder.ticket.Learned;
+import topazladder.ticket.Learned.Kind;
 import topazladder.ticket.Offering;
 import topazladder.ticket.Offering.Repeats;
 import topazladder.ticket.Ruling;
@@ -148,6 +150,60 @@
         return at(time, () -> drain.begin(secondsToStop));
     }
 
+    /** What holds for other servers too, as far as their machines are alike: the level is each one's own. */
+    public List<Learned> learned(double time) {
+        now = Math.max(now, time);
+        List<Learned> all = new ArrayList<>();
+        runTimes.forEach((o, mean) -> mean.tell(Kind.RUN_TIME, o.name(), all));
+        calls.callTime.tell(Kind.CALL_TIME, "", all);
+        calls.usual.tell(Kind.CALLS_IN_HAND, "", all);
+        calls.strain.tell(Kind.STRAIN, "", all);
+        memory.footprints.tell(Kind.FOOTPRINT, "", all);
+        laterTries.tell(Kind.LATER_TRIES, "", all);
+        if (calls.quickest < Double.POSITIVE_INFINITY) {
+            Mean calm = calls.longTime;
+            all.add(new Learned(Kind.CALL_QUICKEST, "", calls.quickest, calm.seen, now - calm.asOf));
+        }
+        if (cores.bound > term("cores", 1.0)) {
+            all.add(new Learned(Kind.RUNS_AT_ONCE, "", cores.bound, 1, 0));
+        }
+        if (finished.rate() > 0) {
+            all.add(new Learned(Kind.OUTGOING, "", finished.rate(), finished.mass, 0));
+        }
+        return all;
+    }
+
+    /** Takes what others learned, weighed for this machine, where nothing was seen yet; it lifts no bound. */
+    public List<Ruling> learn(double time, List<Learned> facts) {
+        return at(time, () -> {
+            facts.forEach(this::learn);
+            calls.followStrain();
+        });
+    }
+
+    private void learn(Learned f) {
+        switch (f.kind()) {
+            // A quarter of the soft limit makes nothing hopeless, or with a wrong one nothing would run.
+            case RUN_TIME -> runTimes.forEach((o, mean) -> {
+                if (o.name().equals(f.subject())) {
+                    mean.learn(Math.min(f.value(), o.softLimit() / 4), f.weight());
+                }
+            });
+            case CALL_TIME -> {
+                calls.callTime.learn(f.value(), f.weight());
+                // Short of all it remembers: calls are cut short by what was seen here alone.
+                calls.longTime.learn(f.value(), Math.min(f.weight(), calls.longTime.most / 2));
+            }
+            case CALL_QUICKEST -> calls.heardQuickest = f.value();
+            case CALLS_IN_HAND -> calls.usual.learn(f.value(), f.weight());
+            case STRAIN -> calls.strain.learn(Math.min(4, f.value()), f.weight());
+            case FOOTPRINT -> memory.footprints.learn(f.value(), f.weight());
+            case OUTGOING -> hold.heardOutgoing = f.value();
+            case RUNS_AT_ONCE -> cores.bound = Math.max(cores.bound, Math.min(f.value(), cores.ceiling()));
+            default -> laterTries.learn(f.value(), f.weight());
+        }
+    }
+
     /** Whether the ticket can still be named in a ruling. */
     public boolean inHand(Ticket ticket) {
         return open.containsKey(ticket);
@@ -498,6 +554,7 @@
     private final class Hold extends Stage {
         private final List<Case> held = new ArrayList<>(); // by arrival; emptied by starts and endings
         private double fullFrom = Double.POSITIVE_INFINITY;
+        private double heardOutgoing;
 
         @Override void take(Case c) {
             held.add(c);
@@ -511,9 +568,11 @@
         }
 
         private double waitFor(Case c) {
-            double outgoing = finished.rate();
+            // What others finish a second tells it sooner; own runs take its place within two soft limits.
+            double heard = now < 2 * shortestLimit ? heardOutgoing : 0;
+            double outgoing = Math.max(finished.rate(), heard);
             long ahead = held.stream().filter(h -> h != c && !after(h, c)).count();
-            return now < 1 || outgoing <= 0 ? 0 : ahead / outgoing;
+            return now < 1 && heard <= 0 || outgoing <= 0 ? 0 : ahead / outgoing;
         }
 
         /** Whether a starts after b. */
@@ -665,6 +724,8 @@
         private final Mean longTime = new Mean(40);
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
+        private double heardQuickest; // 0 if none was, or once enough was seen here
+        private int ownCalls;
         /** How many times the quickest recent calls took; capped, or one that hung would count for thirty. */
         private final Mean strain = new Mean(10);
         private int inHand;
@@ -695,7 +756,13 @@
             if (strain.value <= 2) {
                 usual.add(inHand);
                 pace = most();
-            } else {
+            }
+            followStrain();
+        }
+
+        /** Nothing strained, what was learned elsewhere changes no pace. */
+        private void followStrain() {
+            if (strain.value > 2) {
                 pace = Math.min(most(), Math.max(most() / 16, 3 * usual.value / strain.value));
             }
         }
@@ -758,7 +825,8 @@
                 if (longTime.seen == longTime.most) {
                     quickest = Math.min(longTime.value, quickest * 1.0005);
                 }
-                follow(elapsed / quickest);
+                ownCalls++;
+                follow(elapsed / quickestKnown());
                 cores.resume(c);
             } else {
                 // A failure tells of a crowd below as the longest call does, a spoilt connection of none.
@@ -785,6 +853,17 @@
             }
         }
 
+        /**
+         * A crowd that is met first would be taken for the usual. What others found goes before it, less with
+         * each of four hundred calls: by then a lasting change must be believed.
+         */
+        private double quickestKnown() {
+            double heard = 1 - ownCalls / 400.0;
+            double own = Math.min(quickest, longTime.value);
+            return heardQuickest <= 0 || heard <= 0 ? quickest
+                    : Math.pow(heardQuickest, heard) * Math.pow(own, 1 - heard);
+        }
+
         /** Its answer is given: what lies below may still be at work on the call for a while. */
         void abandon(Case c) {
             if (c.place == Place.CALLING) {
@@ -810,10 +889,12 @@
     // ---- Measuring and terms
 
     /** A mean that follows: each new value counts one in so many, after as many were seen. */
-    private static final class Mean {
+    private final class Mean {
         private final int most;
         private double value;
         private int seen;
+        private int own; // of those seen, not learned from others: only what is all its own is handed on
+        private double asOf;
 
         Mean(int most) {
             this.most = most;
@@ -821,7 +902,24 @@
 
         void add(double x) {
             seen = Math.min(most, seen + 1);
+            own = Math.min(most, own + 1);
             value += (x - value) / seen;
+            asOf = now;
+        }
+
+        /** As though so many events had come first; as many of its own as it remembers overrule them. */
+        void learn(double x, double weight) {
+            int more = (int) Math.min(weight, most - seen);
+            if (more > 0) {
+                value = (value * seen + x * more) / (seen + more);
+                seen += more;
+            }
+        }
+
+        void tell(Kind kind, String subject, List<Learned> all) {
+            if (own == most) {
+                all.add(new Learned(kind, subject, value, own, now - asOf));
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/topazladder/Launch.java
@@ -0,0 +1,76 @@
+package topazladder;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
+import topazladder.config.BadTerms;
+import topazladder.config.OwnSettings;
+import topazladder.config.ServiceTerms;
+import topazladder.net.Rehearsal;
+import topazladder.net.Service;
+import topazladder.wire.MalformedWire;
+import topazladder.wire.WireHost;
+
+/** Starts a service instance with its signals, or the simulator's wire. */
+public final class Launch {
+
+    private Launch() {
+    }
+
+    /**
+     * Returns while the event loop goes on; the instance ends the process.
+     *
+     * @param settings read at the start and at each reload
+     */
+    public static void serve(Supplier<OwnSettings> settings) {
+        // First of all: a signal that comes while the libraries load would end the process as if it had failed.
+        AtomicReference<Service> service = new AtomicReference<>();
+        SignalHandler leave = s -> {
+            if (service.get() == null) {
+                System.exit(0); // nothing was read yet
+            }
+            service.get().leave();
+        };
+        Signal.handle(new Signal("TERM"), leave);
+        Signal.handle(new Signal("INT"), leave);
+        // What is replaced while it is read for the first time is read again once there is who can move.
+        AtomicBoolean early = new AtomicBoolean();
+        Runnable reload = () -> {
+            service.get().reload(() -> ServiceTerms.read(System.getenv()));
+            service.get().reloadOwn(settings);
+        };
+        Signal.handle(new Signal("HUP"), s -> {
+            early.set(true);
+            if (service.get() != null && early.getAndSet(false)) {
+                reload.run();
+            }
+        });
+        Signal.handle(new Signal("USR1"), s -> Optional.ofNullable(service.get()).ifPresent(Service::tell));
+        try {
+            ServiceTerms terms = ServiceTerms.read(System.getenv());
+            OwnSettings own = settings.get();
+            Rehearsal.play(terms);
+            service.set(new Service(terms, own, System::exit));
+            service.get().start();
+            if (early.getAndSet(false)) {
+                reload.run();
+            }
+        } catch (BadTerms e) {
+            System.err.println("serve: " + e.getMessage());
+            System.exit(2);
+        }
+    }
+
+    public static void wirehost() throws IOException {
+        try {
+            new WireHost(System.in, System.out).run();
+        } catch (MalformedWire | BadTerms e) {
+            System.err.println("wirehost: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+}
--- a/src/main/java/topazladder/Main.java
+++ b/src/main/java/topazladder/Main.java
@@ -1,77 +1,73 @@
 package topazladder;
 
 import java.io.IOException;
-import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
-import topazladder.config.BadTerms;
-import topazladder.config.ServiceTerms;
-import topazladder.net.Rehearsal;
-import topazladder.net.Service;
-import topazladder.wire.MalformedWire;
-import topazladder.wire.WireHost;
+import java.lang.reflect.InvocationTargetException;
+import java.net.MalformedURLException;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import topazladder.config.OwnSettings;
 
-/** Entry point: picks the subcommand. */
+/**
+ * Entry point. The two plain commands are started here, on nothing but the libraries they need; all else goes to the
+ * command line, whose libraries are put on the class path only then, as each would cost the plain ones a descriptor.
+ */
 public final class Main {
+    private static final String COMMANDS = "topazladder.cli.Commands";
 
     private Main() {
     }
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) throws Exception {
         switch (args.length == 1 ? args[0] : "") {
-            case "serve" -> serve();
-            case "wirehost" -> wirehost();
-            default -> {
-                System.err.println("usage: topazladder serve | wirehost");
-                System.exit(2);
-            }
+            case "serve" -> Launch.serve(() -> OwnSettings.NONE);
+            case "wirehost" -> Launch.wirehost();
+            default -> commands(args);
         }
     }
 
-    /** Returns while the event loop goes on; the instance ends the process. */
-    private static void serve() {
-        // First of all: a signal that comes while the libraries load would end the process as if it had failed.
-        AtomicReference<Service> service = new AtomicReference<>();
-        SignalHandler leave = s -> {
-            if (service.get() == null) {
-                System.exit(0); // nothing was read yet
-            }
-            service.get().leave();
-        };
-        Signal.handle(new Signal("TERM"), leave);
-        Signal.handle(new Signal("INT"), leave);
-        // What is replaced while it is read for the first time is read again once there is who can move.
-        AtomicBoolean early = new AtomicBoolean();
-        Runnable reload = () -> service.get().reload(() -> ServiceTerms.read(System.getenv()));
-        Signal.handle(new Signal("HUP"), s -> {
-            early.set(true);
-            if (service.get() != null && early.getAndSet(false)) {
-                reload.run();
-            }
-        });
-        Signal.handle(new Signal("USR1"), s -> Optional.ofNullable(service.get()).ifPresent(Service::tell));
+    private static void commands(String[] args) throws Exception {
+        ClassLoader loader = Main.class.getClassLoader();
         try {
-            ServiceTerms terms = ServiceTerms.read(System.getenv());
-            Rehearsal.play(terms);
-            service.set(new Service(terms, System::exit));
-            service.get().start();
-            if (early.getAndSet(false)) {
-                reload.run();
-            }
-        } catch (BadTerms e) {
-            System.err.println("serve: " + e.getMessage());
-            System.exit(2);
+            Class.forName("picocli.CommandLine", false, loader);
+        } catch (ClassNotFoundException e) {
+            loader = withExtras();
+        }
+        Thread.currentThread().setContextClassLoader(loader);
+        try {
+            Class.forName(COMMANDS, true, loader).getMethod("main", String[].class).invoke(null, (Object) args);
+        } catch (InvocationTargetException e) {
+            throw e.getCause() instanceof Exception cause ? cause : e;
         }
     }
 
-    private static void wirehost() throws IOException {
+    /** The whole program anew, beside all libraries: parts of it that are loaded already could not see them. */
+    private static ClassLoader withExtras() throws IOException {
+        List<URL> urls = new ArrayList<>();
         try {
-            new WireHost(System.in, System.out).run();
-        } catch (MalformedWire | BadTerms e) {
-            System.err.println("wirehost: " + e.getMessage());
-            System.exit(1);
+            Path jar = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            urls.add(jar.toUri().toURL());
+            for (String folder : List.of("lib", "extra")) {
+                Path libraries = jar.resolveSibling(folder);
+                if (!Files.isDirectory(libraries)) {
+                    System.err.println("topazladder: the folder " + folder
+                            + " is missing beside the program; build it anew");
+                    System.exit(2);
+                }
+                try (Stream<Path> all = Files.list(libraries)) {
+                    for (Path each : (Iterable<Path>) all.sorted()::iterator) {
+                        urls.add(each.toUri().toURL());
+                    }
+                }
+            }
+        } catch (URISyntaxException | MalformedURLException e) {
+            throw new IOException("the program does not know where it lies", e);
         }
+        return new URLClassLoader(urls.toArray(URL[]::new), ClassLoader.getPlatformClassLoader());
     }
 }
--- /dev/null
+++ b/src/main/java/topazladder/cli/Commands.java
@@ -0,0 +1,80 @@
+package topazladder.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import topazladder.Launch;
+import topazladder.config.BadTerms;
+import topazladder.config.OwnSettings;
+import topazladder.config.SettingsFile;
+
+/** The command line: what each subcommand takes, and the status that it ends with (2 for what was asked wrongly). */
+@Command(name = "topazladder", mixinStandardHelpOptions = true, version = "topazladder 0.1.0",
+        description = "Decides what a server takes, runs and turns away.",
+        subcommands = {Commands.Serve.class, Commands.WireHost.class, Commands.Settings.class})
+public final class Commands {
+
+    public static void main(String[] args) {
+        CommandLine line = new CommandLine(new Commands());
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            if (e instanceof BadTerms) {
+                command.getErr().println(command.getCommandName() + ": " + e.getMessage());
+                return 2;
+            }
+            throw e;
+        });
+        int status = args.length == 0 ? usage(line) : line.execute(args);
+        if (status != SERVING) {
+            System.exit(status);
+        }
+    }
+
+    /** The event loop goes on; whoever ends it ends the process. */
+    private static final int SERVING = -1;
+
+    private static int usage(CommandLine line) {
+        line.usage(line.getErr());
+        return 2;
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+            description = "Runs a service instance by the configuration that GW_CONFIG names.")
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--settings", paramLabel = "FILE",
+                description = "Own settings, protobuf text format; without them all further parts are off.")
+        private Path settings;
+
+        @Override public Integer call() {
+            Launch.serve(() -> settings == null ? OwnSettings.NONE : SettingsFile.read(settings));
+            return SERVING;
+        }
+    }
+
+    @Command(name = "wirehost", mixinStandardHelpOptions = true,
+            description = "Decides for many instances on the simulator's wire, on standard input and output.")
+    static final class WireHost implements Callable<Integer> {
+        @Override public Integer call() throws Exception {
+            Launch.wirehost();
+            return 0;
+        }
+    }
+
+    @Command(name = "settings", mixinStandardHelpOptions = true,
+            description = "Checks a file of own settings and says what it switches on.")
+    static final class Settings implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE")
+        private Path file;
+
+        @Override public Integer call() {
+            OwnSettings own = SettingsFile.read(file);
+            System.out.println("core speed " + (own.coreSpeed() > 0 ? own.coreSpeed() : "unknown")
+                    + (own.hall().isEmpty() ? "" : ", hall " + own.hall()));
+            System.out.println(own.peering() == null ? "peering is off" : "peering with " + own.peering().peers().size()
+                    + " peers, " + (own.peering().listen() == null ? "asks only" : "also gives"));
+            return 0;
+        }
+    }
+}
--- a/src/main/java/topazladder/config/ServiceTerms.java
+++ b/src/main/java/topazladder/config/ServiceTerms.java
@@ -29,6 +29,20 @@
 
     /** A numeric address: there are no names to resolve. */
     public record Address(String host, int port) {
+
+        /** @param key where the text stands, for the error */
+        public static Address of(String key, String text) {
+            int colon = text.lastIndexOf(':');
+            try {
+                int port = Integer.parseInt(text.substring(colon + 1));
+                if (colon > 0 && port > 0 && port < 65536) {
+                    return new Address(text.substring(0, colon), port);
+                }
+            } catch (NumberFormatException e) {
+                // Told below, as any other fault of an address is.
+            }
+            throw new BadTerms(key + " should be like 127.0.0.1:4100: " + text);
+        }
     }
 
     public static ServiceTerms read(Map<String, String> environment) {
@@ -60,10 +74,10 @@
         Map<String, String> settings = new LinkedHashMap<>();
         flatten("", object(json, "settings", null), settings);
         return new ServiceTerms(name,
-                listen == null ? address("listen", word(json, "listen", null)) : address("GW_LISTEN", listen),
-                address("runtime", word(json, "runtime", null)),
-                address("control", word(json, "control", null)),
-                json.getValue("index") == null ? null : address("index", word(json, "index", null)),
+                listen == null ? Address.of("listen", word(json, "listen", null)) : Address.of("GW_LISTEN", listen),
+                Address.of("runtime", word(json, "runtime", null)),
+                Address.of("control", word(json, "control", null)),
+                json.getValue("index") == null ? null : Address.of("index", word(json, "index", null)),
                 seed(word(json, "seed", "0")),
                 number(json, "stop_ms", null, 0) / 1000,
                 (int) number(limits, "sockets", 1024, 1),
@@ -135,17 +149,4 @@
             throw new BadTerms("seed should be at most 16 hex digits: " + text);
         }
     }
-
-    private static Address address(String key, String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && port > 0 && port < 65536) {
-                return new Address(text.substring(0, colon), port);
-            }
-        } catch (NumberFormatException e) {
-            // Told below, as any other fault of an address is.
-        }
-        throw new BadTerms(key + " should be like 127.0.0.1:4100: " + text);
-    }
 }
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -5,6 +5,8 @@
 import io.vertx.core.file.FileSystemOptions;
 import java.time.Clock;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntConsumer;
@@ -12,11 +14,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazladder.config.BadTerms;
+import topazladder.config.OwnSettings;
 import topazladder.config.ServiceTerms;
+import topazladder.net.peer.PeerNode;
 import topazladder.service.Counters;
 import topazladder.service.Counters.Count;
 import topazladder.service.Exchange;
 import topazladder.service.Instance;
+import topazladder.service.Part;
 import topazladder.service.Timers;
 
 /** Puts the parts of a real service instance together, all on one event loop. */
@@ -42,9 +47,15 @@
     private final Exchange exchange;
     private final Instance instance;
     private final IntConsumer exit;
+    private final List<Part> parts = new ArrayList<>();
 
     /** @param exit ends the process with a status; nothing is done any more after it */
     public Service(ServiceTerms terms, IntConsumer exit) {
+        this(terms, OwnSettings.NONE, exit);
+    }
+
+    /** @param own switches on the parts that are off by default */
+    public Service(ServiceTerms terms, OwnSettings own, IntConsumer exit) {
         this.terms = terms;
         this.exit = exit;
         int toIndex = Math.max(1, terms.sockets() / INDEX_PART);
@@ -64,11 +75,15 @@
         exchange = new Exchange(clock, terms.terms(), runtime, index, callers, timers, counters);
         instance = new Instance(terms.name(), terms.seed(), terms.stopAfter(), clock, exchange, callers, timers,
                 this::exit);
+        if (own.peering() != null) {
+            parts.add(new PeerNode(vertx, terms, own, exchange, instance, counters));
+        }
     }
 
     public void start() {
         onLoop(() -> callers.listen(terms.listen(), exchange).onComplete(s -> {
             instance.listening();
+            parts.forEach(Part::open);
             index.open(exchange);
             runtime.open(exchange, instance);
             control.open(instance);
@@ -103,6 +118,19 @@
         }
     }
 
+    /** The same for the settings of the parts that are switched on. */
+    public void reloadOwn(Supplier<OwnSettings> settings) {
+        try {
+            OwnSettings read = settings.get();
+            onLoop(() -> parts.forEach(p -> p.reload(read)));
+        } catch (BadTerms e) {
+            onLoop(() -> {
+                counters.add(Count.CONFIGURATIONS_REFUSED);
+                LOG.error("the settings stay as they were: {}", e.getMessage());
+            });
+        }
+    }
+
     /** Logs the counters and what is in hand, from any thread. */
     public void tell() {
         onLoop(this::tellCounters);
@@ -129,6 +157,7 @@
 
     private void exit() {
         tellCounters();
+        parts.forEach(Part::close);
         runtime.close();
         vertx.close().onComplete(v -> exit.accept(0));
     }
--- /dev/null
+++ b/src/main/java/topazladder/net/peer/PeerNode.java
@@ -0,0 +1,191 @@
+package topazladder.net.peer;
+
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import topazladder.config.OwnSettings;
+import topazladder.config.OwnSettings.Peering;
+import topazladder.config.ServiceTerms;
+import topazladder.config.ServiceTerms.Address;
+import topazladder.config.Terms;
+import topazladder.knowledge.Fact;
+import topazladder.knowledge.Learning;
+import topazladder.knowledge.Origin;
+import topazladder.peering.Asking;
+import topazladder.peering.Asking.Ask;
+import topazladder.peering.Asking.Bounds;
+import topazladder.peering.Asking.Drop;
+import topazladder.peering.Asking.Phase;
+import topazladder.peering.Asking.Step;
+import topazladder.peering.Asking.Wake;
+import topazladder.peering.Candidate;
+import topazladder.peering.Giving;
+import topazladder.service.Counters;
+import topazladder.service.Counters.Count;
+import topazladder.service.Exchange;
+import topazladder.service.Instance;
+import topazladder.service.Part;
+import topazladder.ticket.Learned;
+import topazladder.ticket.Offering;
+
+/** Learning from running instances: asks at the start, and gives while it serves. */
+public final class PeerNode implements Part, PeerAsker.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerNode.class);
+
+    private final Vertx vertx;
+    private final Exchange exchange;
+    private final Instance instance;
+    private final Counters counters;
+    private final Peering settings;
+    private final Learning learning;
+    private final Asking asking;
+    private final PeerAsker asker;
+    private final PeerServer server;
+    private List<byte[]> keys;
+    private Collection<Candidate> peers;
+    private long wake = -1;
+    private double began;
+    private boolean closed;
+
+    public PeerNode(Vertx vertx, ServiceTerms terms, OwnSettings own, Exchange exchange, Instance instance,
+                    Counters counters) {
+        this.vertx = vertx;
+        this.exchange = exchange;
+        this.instance = instance;
+        this.counters = counters;
+        settings = own.peering();
+        take(settings);
+        // Only to differ from any process before: a clock that is wrong does no harm.
+        long incarnation = System.currentTimeMillis() << 16 ^ ProcessHandle.current().pid();
+        Origin here = new Origin(terms.name(), incarnation, ((Number) terms.terms().map().get("cores")).doubleValue(),
+                own.coreSpeed(), digest(terms.terms()));
+        learning = new Learning(here, PeerNode::seconds, settings.leaveOut());
+        asking = new Asking(terms.name(), incarnation, own.hall(),
+                new Bounds(settings.hedgeAfter(), settings.tryFor(), settings.tries()),
+                new SplittableRandom(terms.seed() ^ incarnation));
+        asker = new PeerAsker(vertx, here, settings.tryFor(), () -> keys, this);
+        server = settings.listen() == null ? null : new PeerServer(vertx, learning, exchange, instance, counters,
+                new Giving(settings.sharesPerSecond(), settings.loopShare()), () -> keys);
+    }
+
+    /** Seconds of a clock that never runs backwards, as ages must not hang on one that is set. */
+    static double seconds() {
+        return System.nanoTime() / 1e9;
+    }
+
+    /** The same wherever the same work is done with the same limits. */
+    static long digest(Terms terms) {
+        HashStream64 hash = Hashing.komihash5_0().hashStream();
+        hash.putString(String.valueOf(terms.map().get("below")));
+        for (Offering o : terms.offerings()) {
+            hash.putString(o.name()).putInt(o.repeats().ordinal()).putDouble(o.softLimit()).putDouble(o.outerLimit())
+                    .putDouble(o.payoff()).putBoolean(o.calls()).putDouble(o.poorerShare());
+        }
+        return hash.getAsLong();
+    }
+
+    private void take(Peering p) {
+        List<byte[]> valid = new ArrayList<>(List.of(p.key().bytes()));
+        if (p.otherKey() != null) {
+            valid.add(p.otherKey().bytes());
+        }
+        keys = valid;
+        peers = p.peers().stream().map(peer -> new Candidate(peer.name(),
+                peer.address().host() + ":" + peer.address().port(), peer.hall())).toList();
+    }
+
+    @Override public void open() {
+        if (server != null) {
+            server.listen(settings.listen()).onFailure(e -> LOG.error("no peer can ask at {}:{}: {}",
+                    settings.listen().host(), settings.listen().port(), e.getMessage()));
+        }
+        began = seconds();
+        List<Step> steps = asking.start(began, peers);
+        if (asking.phase() == Phase.ASKING) {
+            instance.hold(settings.waitAtMost());
+        }
+        carryOut(steps);
+    }
+
+    /** Keys and peers are those of now; where it listens needs a restart. */
+    @Override public void reload(OwnSettings own) {
+        if (own.peering() == null) {
+            LOG.warn("peering can't be switched off without a restart");
+            return;
+        }
+        take(own.peering());
+        LOG.info("{} peers may be asked from now on", peers.size());
+        if (asking.phase() == Phase.ASKING) {
+            carryOut(asking.replace(seconds(), peers));
+        }
+    }
+
+    @Override public void close() {
+        closed = true;
+        vertx.cancelTimer(wake);
+        asker.close();
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    private void carryOut(List<Step> steps) {
+        if (closed) {
+            return;
+        }
+        for (Step step : steps) {
+            if (step instanceof Ask ask) {
+                counters.add(Count.PEERS_ASKED);
+                asker.ask(ask.number(), Address.of("peer", ask.peer().address()));
+            } else if (step instanceof Drop drop) {
+                asker.drop(drop.number());
+            } else if (step instanceof Wake w) {
+                vertx.cancelTimer(wake);
+                wake = vertx.setTimer(Math.max(1, Math.round(w.seconds() * 1000)),
+                        id -> carryOut(asking.tick(seconds())));
+            }
+        }
+        if (asking.phase() == Phase.LEARNED || asking.phase() == Phase.GIVEN_UP) {
+            over();
+        }
+    }
+
+    /** What came is used as far as it came; what comes once the module has started is told it then. */
+    private void over() {
+        vertx.cancelTimer(wake);
+        List<Learned> fresh = learning.forTheModule();
+        exchange.learn(fresh);
+        if (!fresh.isEmpty() || asking.phase() == Phase.GIVEN_UP) {
+            LOG.info("asking peers is over: {} in {} s, {} facts taken", asking,
+                    Math.round((seconds() - began) * 1000) / 1e3, fresh.size());
+        }
+        instance.release();
+    }
+
+    @Override public void heard(int number, Collection<Fact> facts) {
+        asking.heard(number);
+        learning.hear(facts);
+    }
+
+    @Override public void whole(int number) {
+        counters.add(Count.SHARES_TAKEN);
+        carryOut(asking.learned(seconds(), number));
+    }
+
+    @Override public void later(int number, double comeBackIn) {
+        counters.add(Count.SHARES_PUT_OFF);
+        carryOut(asking.later(seconds(), number, comeBackIn));
+    }
+
+    @Override public void failed(int number, String why) {
+        counters.add(Count.PEERS_FAILED);
+        LOG.debug("peer asked at try {} failed: {}", number, why);
+        carryOut(asking.failed(seconds(), number));
+    }
+}
--- a/src/main/java/topazladder/service/Counters.java
+++ b/src/main/java/topazladder/service/Counters.java
@@ -16,7 +16,8 @@
         CALLS_FAILED, CALLS_TOO_LONG, CALLS_CUT_OFF, CALLS_LEFT_OUT, REPLIES_UNREADABLE, REPLIES_TO_NO_CALL,
         JOINED, LEVELS_POSTED, HONOURED, DEFERRED, BROKEN_OFF, ANSWERS_NOBODY_WAITED_FOR,
         COMMANDS_NOT_CARRIED_OUT, LINKS_LOST, GAUGES_READ, GAUGES_MISSED, LINES_UNREADABLE, CONFIGURATIONS_READ,
-        CONFIGURATIONS_REFUSED, FAULTS
+        CONFIGURATIONS_REFUSED, PEERS_ASKED, PEERS_FAILED, SHARES_TAKEN, SHARES_PUT_OFF, SHARES_GIVEN,
+        ASKERS_PUT_OFF, ASKERS_REFUSED, FACTS_LEARNED, FAULTS
     }
 
     private final long[] counts = new long[Count.values().length];
@@ -25,6 +26,10 @@
         counts[count.ordinal()]++;
     }
 
+    public void add(Count count, long n) {
+        counts[count.ordinal()] += n;
+    }
+
     public long of(Count count) {
         return counts[count.ordinal()];
     }
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazladder.Brain;
@@ -20,6 +21,7 @@
 import topazladder.service.Fingerprints.Kept;
 import topazladder.ticket.Customer;
 import topazladder.ticket.Ending;
+import topazladder.ticket.Learned;
 import topazladder.ticket.Offering;
 import topazladder.ticket.Offering.Repeats;
 import topazladder.ticket.Ruling;
@@ -62,6 +64,7 @@
     private Boolean health; // null until the module rules on it
     private Map<String, Double> gauges = Map.of();
     private boolean gaugesAwaited;
+    private List<Learned> early = List.of(); // learned before the module started; emptied as it does
     private double wakePeriod;
     private int owed;
 
@@ -90,6 +93,23 @@
         brain = new Brain(new SplittableRandom(seed), handed);
         zero = clock.getAsDouble();
         tell(b -> b.start(now()));
+        learn(early);
+        early = List.of();
+    }
+
+    /** What others learned, weighed for this machine; before the module has started it is kept for it. */
+    public void learn(List<Learned> facts) {
+        if (brain == null) {
+            early = Stream.concat(early.stream(), facts.stream()).toList();
+        } else if (!facts.isEmpty()) {
+            counters.add(Count.FACTS_LEARNED, facts.size());
+            tell(b -> b.learn(now(), facts));
+        }
+    }
+
+    /** What the module has learned and would hold on another machine; nothing before it has started. */
+    public List<Learned> learned() {
+        return brain == null ? List.of() : brain.learned(now());
     }
 
     /** Tickets that were read and are not answered yet. */
--- a/src/main/java/topazladder/service/Instance.java
+++ b/src/main/java/topazladder/service/Instance.java
@@ -24,6 +24,9 @@
     private Phase phase = Phase.STARTING;
     private double killAt;
     private boolean lastCall;
+    private double held;
+    private double heldUntil;
+    private Runnable waiting = () -> { };
 
     public Instance(String name, long seed, double stopAfter, DoubleSupplier clock,
                     Exchange exchange, Callers callers, Timers timers, Runnable exit) {
@@ -54,12 +57,41 @@
 
     /** Told again whenever the link is taken anew, which changes nothing. */
     public void runtimeUp(boolean cold) {
+        if (phase == Phase.AWAITING_RUNTIME) {
+            double left = heldUntil - clock.getAsDouble();
+            if (left > 0) {
+                // At most so long: a clock that is set back meanwhile must not keep all callers out.
+                timers.in(Math.min(left, held), () -> {
+                    held = 0;
+                    release();
+                });
+                waiting = () -> serve(cold);
+            } else {
+                serve(cold);
+            }
+        }
+    }
+
+    private void serve(boolean cold) {
         if (phase == Phase.AWAITING_RUNTIME) {
             enter(Phase.SERVING);
             exchange.open(seed, cold);
         }
     }
 
+    /** Serving does not begin for so many seconds from now, unless it is released before. */
+    public void hold(double seconds) {
+        held = seconds;
+        heldUntil = clock.getAsDouble() + seconds;
+    }
+
+    public void release() {
+        heldUntil = 0;
+        Runnable next = waiting;
+        waiting = () -> { };
+        next.run();
+    }
+
     /** A second notice changes nothing: the kill follows the first. */
     public void leave() {
         if (phase == Phase.SERVING) {
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -143,4 +143,10 @@
         desk.gauge("on-cores", 9).until(16);
         desk.gauge("on-cores", 0).until(24).matches("connections");
     }
+
+    @Test
+    void withNothingLearnedFromOthersAllIsRuledAsItWasBeforeThatCouldBe() {
+        new Desk().with("cores", 2.0).with("memory", 2000.0).with("below", "common").with("calls-share", 2.0)
+                .open().play(20261201, 160).matches("unlearned");
+    }
 }
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import topazladder.config.Terms;
 import topazladder.service.Answer;
 import topazladder.service.Arrival;
@@ -60,6 +61,7 @@
     private final Map<String, Ticket> tickets = new LinkedHashMap<>();
     private final Map<Ticket, String> names = new LinkedHashMap<>();
     private final Set<Ticket> started = new LinkedHashSet<>();
+    private final Set<Ticket> calling = new LinkedHashSet<>();
     private final StringBuilder trace = new StringBuilder();
     private final Map<String, Double> gauges = new LinkedHashMap<>(Map.of("core-use", 1.0));
     private Brain brain;
@@ -144,6 +146,36 @@
         return this;
     }
 
+    /** Tickets of all kinds, runs, calls and their ends as chance has them: what a seed plays is the same each time. */
+    Desk play(long seed, int steps) {
+        RandomGenerator chance = new SplittableRandom(seed);
+        Offering[] kinds = {READ, PLACE, LATE, ISSUE};
+        for (int i = 0; i < steps; i++) {
+            until(now + chance.nextInt(3) * 0.1);
+            List<Ticket> running = started.stream().filter(brain::inHand).toList();
+            List<Ticket> waiting = calling.stream().filter(brain::inHand).toList();
+            int what = chance.nextInt(10);
+            if (what < 4 || running.isEmpty() && waiting.isEmpty()) {
+                arrive("t" + i, kinds[chance.nextInt(4)], chance.nextDouble(), 0, null);
+            } else if (what < 6 && !waiting.isEmpty()) {
+                Ticket ticket = waiting.get(chance.nextInt(waiting.size()));
+                Ending[] ends = {Ending.OK, Ending.OK, Ending.OK, Ending.DEFERRED, Ending.FAILED};
+                calling.remove(ticket);
+                started.add(ticket);
+                callEnds(names.get(ticket), ends[chance.nextInt(5)], 0.05 + chance.nextDouble());
+            } else if (!running.isEmpty()) {
+                Ticket ticket = running.get(chance.nextInt(running.size()));
+                if (what < 8) {
+                    started.remove(ticket);
+                    wantsCall(names.get(ticket));
+                } else {
+                    runEnds(names.get(ticket), Ending.OK);
+                }
+            }
+        }
+        return this;
+    }
+
     Desk callerGone(String name) {
         write("caller of " + name + " gone", brain.callerGone(now, tickets.get(name)));
         return this;
@@ -190,6 +222,8 @@
             }
             if (r.what() == What.START) {
                 started.add(r.ticket());
+            } else if (r.what() == What.CALL) {
+                calling.add(r.ticket());
             }
         }
     }
