--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -183,10 +183,10 @@
 
     private void learn(Learned f) {
         switch (f.kind()) {
-            // A quarter of the soft limit makes nothing hopeless, or with a wrong one nothing would run.
+            // Under the soft limit, as a wrong one must not make hopeless what could start at once.
             case RUN_TIME -> runTimes.forEach((o, mean) -> {
                 if (o.name().equals(f.subject())) {
-                    mean.learn(Math.min(f.value(), o.softLimit() / 4), f.weight());
+                    mean.learn(Math.min(f.value() / cores.speed(), o.softLimit() * 0.6), f.weight());
                 }
             });
             case CALL_TIME -> {
@@ -569,7 +569,7 @@
 
         private double waitFor(Case c) {
             // What others finish a second tells it sooner; own runs take its place within two soft limits.
-            double heard = now < 2 * shortestLimit ? heardOutgoing : 0;
+            double heard = now < 2 * shortestLimit ? heardOutgoing * cores.speed() : 0;
             double outgoing = Math.max(finished.rate(), heard);
             long ahead = held.stream().filter(h -> h != c && !after(h, c)).count();
             return now < 1 && heard <= 0 || outgoing <= 0 ? 0 : ahead / outgoing;
@@ -635,11 +635,15 @@
             return on + others.value < term("cores", 1.0);
         }
 
-        /** The crowd that kills, by the slowest warm-up the terms allow. */
-        private double ceiling() {
+        /** Its part of a warm server's, by the slowest warm-up the terms allow. */
+        private double speed() {
             double from = term("cold", false) ? term("cold-from", 0.0) : 1;
-            double speed = Math.min(1, from + (1 - from) * now / term("warm-after", 1.0));
-            return term("cores", 1.0) * (1 + (term("fall-multiple", 2.0) - 1) * speed) * CROWD_USED;
+            return Math.min(1, from + (1 - from) * now / term("warm-after", 1.0));
+        }
+
+        /** The crowd that kills. */
+        private double ceiling() {
+            return term("cores", 1.0) * (1 + (term("fall-multiple", 2.0) - 1) * speed()) * CROWD_USED;
         }
 
         boolean room(Case c) {
--- /dev/null
+++ b/src/main/java/topazladder/emulator/Below.java
@@ -0,0 +1,31 @@
+package topazladder.emulator;
+
+import java.util.function.DoubleSupplier;
+import topazladder.service.Timers;
+
+/** What all instances call: slots shared by all calls, and slower on command. */
+final class Below {
+    private final Sharing slots;
+    private double speed = 1;
+
+    Below(DoubleSupplier clock, Timers timers, double slots) {
+        this.slots = new Sharing(clock, timers, slots, () -> speed, crowd -> 1 / (1 + 0.1 * Math.max(0, crowd - 1)));
+    }
+
+    /** @param times how many times as long each call takes from now on */
+    void slowDown(double times) {
+        speed = 1 / times;
+    }
+
+    void call(Object name, double work, Runnable done) {
+        slots.add(name, work, done);
+    }
+
+    void giveUp(Object name) {
+        slots.remove(name);
+    }
+
+    int inHand() {
+        return slots.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/emulator/Branch.java
@@ -0,0 +1,242 @@
+package topazladder.emulator;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+import topazladder.config.Terms;
+import topazladder.emulator.Traffic.Wanted;
+import topazladder.service.Answer;
+import topazladder.service.Answer.How;
+import topazladder.service.Arrival;
+import topazladder.service.Caller;
+import topazladder.service.Callers;
+import topazladder.service.Counters;
+import topazladder.service.Exchange;
+import topazladder.service.IndexPort;
+import topazladder.service.Instance;
+import topazladder.service.RuntimePort;
+import topazladder.ticket.Ending;
+
+/**
+ * One instance of the program in virtual time, the program's own objects from the exchange inwards, with a runtime and
+ * callers of its own. It counts what its callers got, by windows.
+ */
+final class Branch implements RuntimePort, IndexPort, Callers, Runtime.Listener {
+    /** Seconds that a message takes from one part to the next. */
+    private static final double LINK = 0.0005;
+    /** Callers heed a level for a second. */
+    private static final double HEEDED = 1;
+
+    private final String name;
+    private final Timeline time;
+    private final Below below;
+    private final Runtime runtime;
+    private final Exchange exchange;
+    private final Instance instance;
+    private final Traffic traffic;
+    private final RandomGenerator habits;
+    private final double rate;
+    private final double heed;
+    private final double retries;
+    private final double end;
+    private final double window;
+    private final double from;
+    private final double[] asked;
+    private final double[] earned;
+    private final Map<String, Double> patience = new LinkedHashMap<>(); // one a call; emptied as it ends
+    private final double reading;
+    /** Whom callers try next; the list of all that serve, this one among them. */
+    private final List<Branch> all;
+    private double level;
+    private double heardAt = Double.NEGATIVE_INFINITY;
+    private long refs;
+    private double crowd;
+    private double worstCrowd;
+
+    /**
+     * @param rate tickets a second that callers want answered
+     * @param heed part of the callers that heed the level
+     * @param retries part of the callers that try another server after a deferral, once
+     * @param reading core-seconds that reading a ticket takes
+     */
+    record Plan(Terms terms, Runtime.Shape shape, boolean cold, List<Traffic.Kind> kinds, double rate, double heed,
+                double retries, double reading, double from, double end, double window, long seed) {
+    }
+
+    Branch(String name, Timeline time, Below below, Plan plan, List<Branch> all) {
+        this.all = all;
+        reading = plan.reading();
+        this.name = name;
+        this.time = time;
+        this.below = below;
+        rate = plan.rate();
+        heed = plan.heed();
+        retries = plan.retries();
+        from = plan.from();
+        end = plan.end();
+        window = plan.window();
+        asked = new double[(int) Math.ceil((end - from) / window)];
+        earned = new double[asked.length];
+        SplittableRandom chance = new SplittableRandom(plan.seed());
+        traffic = new Traffic(chance.split(), plan.kinds());
+        habits = chance.split();
+        runtime = new Runtime(time, time, plan.shape(), plan.cold(), this);
+        exchange = new Exchange(time, plan.terms(), this, this, this, time, new Counters());
+        instance = new Instance(name, plan.seed(), 10, time, exchange, this, time, () -> { });
+        instance.listening();
+        instance.runtimeUp(plan.cold());
+        time.in(0, this::next);
+        look();
+    }
+
+    Exchange exchange() {
+        return exchange;
+    }
+
+    /** Payoff asked for and earned, by windows from the start of the count. */
+    double[] asked() {
+        return asked.clone();
+    }
+
+    double[] earned() {
+        return earned.clone();
+    }
+
+    /** Runs on each core, in the worst mean of two seconds. */
+    double worstCrowd() {
+        return worstCrowd;
+    }
+
+    private void look() {
+        crowd += (runtime.running() - crowd) * 0.05;
+        worstCrowd = Math.max(worstCrowd, crowd);
+        time.in(0.1, this::look);
+    }
+
+    private void next() {
+        if (time.getAsDouble() >= end) {
+            return;
+        }
+        Wanted w = traffic.next();
+        boolean heeds = habits.nextDouble() < heed;
+        int at = window(time.getAsDouble());
+        if (at >= 0) {
+            asked[at] += w.kind().offering().payoff();
+        }
+        if (!heeds || time.getAsDouble() - heardAt > HEEDED || w.rank() >= level) {
+            String fingerprint = w.kind().offering().window() > 0 ? name + "f" + refs : null;
+            send(this, w, fingerprint, time.getAsDouble(), at, false);
+        }
+        time.in(traffic.gap(rate), this::next);
+    }
+
+    private int window(double now) {
+        int at = (int) Math.floor((now - from) / window);
+        return now < from || at >= asked.length ? -1 : at;
+    }
+
+    private void send(Branch to, Wanted w, String fingerprint, double first, int at, boolean laterTry) {
+        String ref = name + refs++;
+        double sent = time.getAsDouble();
+        time.in(LINK, () -> {
+            to.runtime.read(reading, () -> to.exchange.arrive(new Arrival(ref, w.kind().offering().name(), null, sent, laterTry, 10,
+                    w.rank(), fingerprint, w.work().body()), new Caller() {
+                        @Override public void answer(Answer a) {
+                            time.in(LINK, () -> answered(to, a, w, fingerprint, first, at, laterTry));
+                        }
+
+                        @Override public void unusable(Answer a) {
+                            throw new IllegalStateException("the emulator sent what can't be decided on");
+                        }
+
+                        @Override public void health(boolean good, Double heard) {
+                        }
+                    }));
+        });
+    }
+
+    private void answered(Branch by, Answer a, Wanted w, String fingerprint, double first, int at, boolean laterTry) {
+        by.level = a.level() == null ? 0 : a.level();
+        by.heardAt = time.getAsDouble();
+        double took = time.getAsDouble() - first;
+        if (a.how() == How.HONOURED && took <= w.kind().offering().softLimit()) {
+            boolean poorer = new String(a.body(), StandardCharsets.US_ASCII).startsWith("poorer");
+            if (at >= 0) {
+                earned[at] += w.kind().offering().payoff() * (poorer ? w.kind().offering().poorerShare() : 1);
+            }
+        } else if (a.how() == How.DEFERRED && !laterTry && !a.notElsewhere() && habits.nextDouble() < retries) {
+            List<Branch> others = all.stream().filter(b -> b != by).toList();
+            Branch next = others.isEmpty() ? by : others.get(habits.nextInt(others.size()));
+            time.in(0.02, () -> send(next, w, fingerprint, first, at, true));
+        }
+    }
+
+    // ---- The runtime
+
+    @Override public void start(String ref, String offering, byte[] body) {
+        time.in(LINK, () -> runtime.start(ref, body));
+    }
+
+    @Override public void give(String ref, byte[] reply) {
+        time.in(LINK, () -> runtime.goOn(ref, false));
+    }
+
+    @Override public void omit(String ref, long notice) {
+        time.in(LINK, () -> runtime.goOn(ref, true));
+    }
+
+    @Override public void askGauges() {
+        time.in(2 * LINK, () -> exchange.gaugesRead(runtime.gauges()));
+    }
+
+    @Override public void askWhetherWorkGetsDone(long tag) {
+        time.in(2 * LINK, () -> exchange.verdict(tag, true));
+    }
+
+    @Override public void ended(String ref, Ending how, double elapsed, byte[] result) {
+        time.in(LINK, () -> exchange.runEnded(ref, how, elapsed, result));
+    }
+
+    @Override public void wants(String ref, long notice, byte[] body) {
+        time.in(LINK, () -> exchange.callWanted(ref, notice, body));
+    }
+
+    // ---- What lies below
+
+    @Override public void call(String ref, double seconds, boolean repeatable, byte[] body) {
+        double mine = time.getAsDouble();
+        patience.put(ref, mine);
+        below.call(name + ref, Double.parseDouble(new String(body, StandardCharsets.US_ASCII)),
+                () -> ended(ref, mine, Ending.OK));
+        time.in(seconds, () -> ended(ref, mine, Ending.ABANDONED));
+    }
+
+    private void ended(String ref, double begun, Ending how) {
+        if (patience.remove(ref, begun)) {
+            if (how != Ending.OK) {
+                below.giveUp(name + ref);
+            }
+            time.in(LINK, () -> exchange.callEnded(ref, how, new byte[] {'y'}));
+        }
+    }
+
+    @Override public void giveUp(String ref) {
+        patience.remove(ref);
+        below.giveUp(name + ref);
+    }
+
+    // ---- Callers' connections
+
+    @Override public void closeIdle(double seconds) {
+    }
+
+    @Override public void lastCall() {
+    }
+
+    @Override public int connections() {
+        return 0;
+    }
+}
