Hand on run times, calls in hand and the rate finished only; measure told and untold returns in pairs

Run times are taken in by the speed of a cold machine, and the rate others finish at turns away what can't come before any run has ended.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -154,19 +154,11 @@
     public List<Learned> learned(double time) {
         now = Math.max(now, time);
         List<Learned> all = new ArrayList<>();
+        if (cores.speed() < 1 || now < 2 * shortestLimit) {
+            return all; // what a cold machine or a few tickets tell misleads
+        }
         runTimes.forEach((o, mean) -> mean.tell(Kind.RUN_TIME, o.name(), all));
-        calls.callTime.tell(Kind.CALL_TIME, "", all);
         calls.usual.tell(Kind.CALLS_IN_HAND, "", all);
-        calls.strain.tell(Kind.STRAIN, "", all);
-        memory.footprints.tell(Kind.FOOTPRINT, "", all);
-        laterTries.tell(Kind.LATER_TRIES, "", all);
-        if (calls.quickest < Double.POSITIVE_INFINITY) {
-            Mean calm = calls.longTime;
-            all.add(new Learned(Kind.CALL_QUICKEST, "", calls.quickest, calm.seen, now - calm.asOf));
-        }
-        if (cores.bound > term("cores", 1.0)) {
-            all.add(new Learned(Kind.RUNS_AT_ONCE, "", cores.bound, 1, 0));
-        }
         if (finished.rate() > 0) {
             all.add(new Learned(Kind.OUTGOING, "", finished.rate(), finished.mass, 0));
         }
@@ -175,10 +167,7 @@
 
     /** Takes what others learned, weighed for this machine, where nothing was seen yet; it lifts no bound. */
     public List<Ruling> learn(double time, List<Learned> facts) {
-        return at(time, () -> {
-            facts.forEach(this::learn);
-            calls.followStrain();
-        });
+        return at(time, () -> facts.forEach(this::learn));
     }
 
     private void learn(Learned f) {
@@ -189,18 +178,8 @@
                     mean.learn(Math.min(f.value() / cores.speed(), o.softLimit() * 0.6), f.weight());
                 }
             });
-            case CALL_TIME -> {
-                calls.callTime.learn(f.value(), f.weight());
-                // Short of all it remembers: calls are cut short by what was seen here alone.
-                calls.longTime.learn(f.value(), Math.min(f.weight(), calls.longTime.most / 2));
-            }
-            case CALL_QUICKEST -> calls.heardQuickest = f.value();
             case CALLS_IN_HAND -> calls.usual.learn(f.value(), f.weight());
-            case STRAIN -> calls.strain.learn(Math.min(4, f.value()), f.weight());
-            case FOOTPRINT -> memory.footprints.learn(f.value(), f.weight());
             case OUTGOING -> hold.heardOutgoing = f.value();
-            case RUNS_AT_ONCE -> cores.bound = Math.max(cores.bound, Math.min(f.value(), cores.ceiling()));
-            default -> laterTries.learn(f.value(), f.weight());
         }
     }
 
@@ -728,8 +707,6 @@
         private final Mean longTime = new Mean(40);
         /** What a call takes when nothing crowds it; drifts up, so that a lasting change is believed. */
         private double quickest = Double.POSITIVE_INFINITY;
-        private double heardQuickest; // 0 if none was, or once enough was seen here
-        private int ownCalls;
         /** How many times the quickest recent calls took; capped, or one that hung would count for thirty. */
         private final Mean strain = new Mean(10);
         private int inHand;
@@ -760,13 +737,7 @@
             if (strain.value <= 2) {
                 usual.add(inHand);
                 pace = most();
-            }
-            followStrain();
-        }
-
-        /** Nothing strained, what was learned elsewhere changes no pace. */
-        private void followStrain() {
-            if (strain.value > 2) {
+            } else {
                 pace = Math.min(most(), Math.max(most() / 16, 3 * usual.value / strain.value));
             }
         }
@@ -829,8 +800,7 @@
                 if (longTime.seen == longTime.most) {
                     quickest = Math.min(longTime.value, quickest * 1.0005);
                 }
-                ownCalls++;
-                follow(elapsed / quickestKnown());
+                follow(elapsed / quickest);
                 cores.resume(c);
             } else {
                 // A failure tells of a crowd below as the longest call does, a spoilt connection of none.
@@ -857,17 +827,6 @@
             }
         }
 
-        /**
-         * A crowd that is met first would be taken for the usual. What others found goes before it, less with
-         * each of four hundred calls: by then a lasting change must be believed.
-         */
-        private double quickestKnown() {
-            double heard = 1 - ownCalls / 400.0;
-            double own = Math.min(quickest, longTime.value);
-            return heardQuickest <= 0 || heard <= 0 ? quickest
-                    : Math.pow(heardQuickest, heard) * Math.pow(own, 1 - heard);
-        }
-
         /** Its answer is given: what lies below may still be at work on the call for a while. */
         void abandon(Case c) {
             if (c.place == Place.CALLING) {
--- a/src/main/java/topazladder/cli/Commands.java
+++ b/src/main/java/topazladder/cli/Commands.java
@@ -1,20 +1,24 @@
 package topazladder.cli;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 import topazladder.Launch;
 import topazladder.config.BadTerms;
 import topazladder.config.OwnSettings;
 import topazladder.config.SettingsFile;
+import topazladder.experiment.PeerExperiment;
 
 /** The command line: what each subcommand takes, and the status that it ends with (2 for what was asked wrongly). */
 @Command(name = "topazladder", mixinStandardHelpOptions = true, version = "topazladder 0.1.0",
         description = "Decides what a server takes, runs and turns away.",
-        subcommands = {Commands.Serve.class, Commands.WireHost.class, Commands.Settings.class})
+        subcommands = {Commands.Serve.class, Commands.WireHost.class, Commands.Settings.class, Commands.Experiment.class})
 public final class Commands {
 
     public static void main(String[] args) {
@@ -77,4 +81,36 @@
             return 0;
         }
     }
+
+    @Command(name = "experiment", mixinStandardHelpOptions = true, subcommands = Experiment.Peer.class,
+            description = "Measures parts of the program against stand-ins, and keeps the results as tables.")
+    static final class Experiment implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override public Integer call() {
+            return usage(spec.commandLine());
+        }
+
+        @Command(name = "peer", mixinStandardHelpOptions = true,
+                description = "A cold start with and without a peer to learn from, in pairs.")
+        static final class Peer implements Callable<Integer> {
+            @Option(names = "--seeds", defaultValue = "100", description = "Pairs of each kind (${DEFAULT-VALUE}).")
+            private int seeds;
+            @Option(names = "--loopback", description = "With real processes on loopback in place of virtual time.")
+            private boolean loopback;
+            @Option(names = "--beside", defaultValue = "2",
+                    description = "Runs beside each other on loopback (${DEFAULT-VALUE}); each takes a core.")
+            private int beside;
+            @Option(names = "--out", required = true, paramLabel = "FILE", description = "Where the table goes.")
+            private Path out;
+
+            @Override public Integer call() throws Exception {
+                String table = loopback ? PeerExperiment.loopback(seeds, beside) : PeerExperiment.table(seeds);
+                Files.writeString(out, table);
+                System.out.print(table);
+                return 0;
+            }
+        }
+    }
 }
--- a/src/main/java/topazladder/emulator/Below.java
+++ b/src/main/java/topazladder/emulator/Below.java
@@ -4,24 +4,24 @@
 import topazladder.service.Timers;
 
 /** What all instances call: slots shared by all calls, and slower on command. */
-final class Below {
+public final class Below {
     private final Sharing slots;
     private double speed = 1;
 
-    Below(DoubleSupplier clock, Timers timers, double slots) {
+    public Below(DoubleSupplier clock, Timers timers, double slots) {
         this.slots = new Sharing(clock, timers, slots, () -> speed, crowd -> 1 / (1 + 0.1 * Math.max(0, crowd - 1)));
     }
 
     /** @param times how many times as long each call takes from now on */
-    void slowDown(double times) {
+    public void slowDown(double times) {
         speed = 1 / times;
     }
 
-    void call(Object name, double work, Runnable done) {
+    public void call(Object name, double work, Runnable done) {
         slots.add(name, work, done);
     }
 
-    void giveUp(Object name) {
+    public void giveUp(Object name) {
         slots.remove(name);
     }
 
--- a/src/main/java/topazladder/emulator/Runtime.java
+++ b/src/main/java/topazladder/emulator/Runtime.java
@@ -11,10 +11,10 @@
  * The machine that does an instance's work: cores shared by all that runs, slower while it is cold and in a crowd.
  * A run makes its call halfway and goes on once it has the reply, or is told to do without.
  */
-final class Runtime {
+public final class Runtime {
 
     /** Who hears what becomes of the runs. */
-    interface Listener {
+    public interface Listener {
 
         void ended(String ref, Ending how, double elapsed, byte[] result);
 
@@ -26,7 +26,7 @@
      * @param warmAfter seconds until it is warm
      * @param crowd runs on each core from which on a crowd costs capacity
      */
-    record Shape(double cores, double speed, double coldFrom, double warmAfter, double crowd) {
+    public record Shape(double cores, double speed, double coldFrom, double warmAfter, double crowd) {
     }
 
     private static final class Run {
@@ -52,7 +52,7 @@
     private double lookedAt;
     private double use;
 
-    Runtime(DoubleSupplier clock, Timers timers, Shape shape, boolean cold, Listener listener) {
+    public Runtime(DoubleSupplier clock, Timers timers, Shape shape, boolean cold, Listener listener) {
         this.clock = clock;
         this.shape = shape;
         this.listener = listener;
@@ -67,7 +67,7 @@
         return shape.speed() * (shape.coldFrom() + (1 - shape.coldFrom()) * warm);
     }
 
-    void start(String ref, byte[] body) {
+    public void start(String ref, byte[] body) {
         Run run = new Run(clock.getAsDouble(), Work.of(body));
         if (runs.putIfAbsent(ref, run) == null) {
             boolean calls = run.work.call() > 0;
@@ -85,12 +85,12 @@
     }
 
     /** Takes the cores for the reading of a ticket, which costs the same whatever is then decided. */
-    void read(double work, Runnable then) {
+    public void read(double work, Runnable then) {
         cores.add(then, work, then);
     }
 
     /** Goes on with the reply, or without. */
-    void goOn(String ref, boolean poorer) {
+    public void goOn(String ref, boolean poorer) {
         Run run = runs.get(ref);
         if (run != null && !run.called) {
             run.called = true;
@@ -100,7 +100,7 @@
     }
 
     /** Part of the cores used since the last look, and runs that want one. */
-    double[] gauges() {
+    public double[] gauges() {
         double now = clock.getAsDouble();
         double busy = cores.busy();
         if (now - lookedAt >= 0.1) {
--- a/src/main/java/topazladder/emulator/Traffic.java
+++ b/src/main/java/topazladder/emulator/Traffic.java
@@ -8,7 +8,7 @@
  * Tickets as they come to one instance: at random times of a rate, of offerings by shares, each with its work. What a
  * seed gives is the same whoever serves it.
  */
-final class Traffic {
+public final class Traffic {
 
     /**
      * @param share of the tickets
@@ -16,27 +16,27 @@
      * @param callShare of its tickets that make a call
      * @param call mean server-seconds of a call
      */
-    record Kind(Offering offering, double share, double run, double callShare, double call) {
+    public record Kind(Offering offering, double share, double run, double callShare, double call) {
     }
 
     /** One ticket that somebody wants answered. */
-    record Wanted(Kind kind, double rank, Work work) {
+    public record Wanted(Kind kind, double rank, Work work) {
     }
 
     private final RandomGenerator chance;
     private final List<Kind> kinds;
 
-    Traffic(RandomGenerator chance, List<Kind> kinds) {
+    public Traffic(RandomGenerator chance, List<Kind> kinds) {
         this.chance = chance;
         this.kinds = kinds;
     }
 
     /** Seconds to the next ticket. */
-    double gap(double rate) {
+    public double gap(double rate) {
         return -Math.log(1 - chance.nextDouble()) / rate;
     }
 
-    Wanted next() {
+    public Wanted next() {
         double at = chance.nextDouble();
         Kind kind = kinds.get(kinds.size() - 1);
         for (Kind k : kinds) {
--- a/src/main/java/topazladder/emulator/Work.java
+++ b/src/main/java/topazladder/emulator/Work.java
@@ -9,13 +9,13 @@
  * @param run core-seconds in all
  * @param call server-seconds of the call that its run makes halfway; 0 for none
  */
-record Work(double run, double call) {
+public record Work(double run, double call) {
 
-    byte[] body() {
+    public byte[] body() {
         return String.format(Locale.ROOT, "%.6f %.6f", run, call).getBytes(StandardCharsets.US_ASCII);
     }
 
-    static Work of(byte[] body) {
+    public static Work of(byte[] body) {
         String[] words = new String(body, StandardCharsets.US_ASCII).split(" ");
         return new Work(Double.parseDouble(words[0]), Double.parseDouble(words[1]));
     }
--- a/src/main/java/topazladder/knowledge/Nature.java
+++ b/src/main/java/topazladder/knowledge/Nature.java
@@ -33,18 +33,9 @@
     private static final Map<Kind, Nature> ALL = new EnumMap<>(Map.of(
             // Runs differ with the bodies more than with the hour; three own ones say more of this machine.
             Kind.RUN_TIME, new Nature(600, 3, 1, Carry.BY_SPEED, 0.25),
-            // Follows the crowd below within minutes.
-            Kind.CALL_TIME, new Nature(120, 5, 1, Carry.AS_IS, 0),
-            // Changes only as what lies below is rebuilt; wrong, it slows calls down, so that few events say nothing.
-            Kind.CALL_QUICKEST, new Nature(1800, 20, 5, Carry.AS_IS, 0),
             Kind.CALLS_IN_HAND, new Nature(300, 10, 5, Carry.BY_CORES, 0),
-            // A crowd lasts seconds. Believed for longer it would outlive its cause on each instance that returns.
-            Kind.STRAIN, new Nature(5, 3, 1, Carry.AS_IS, 0),
-            Kind.FOOTPRINT, new Nature(3600, 5, 1, Carry.AS_IS, 0.25),
             // Another mix of work is finished at another rate.
-            Kind.OUTGOING, new Nature(60, 1000, 10, Carry.BY_POWER, 0),
-            Kind.RUNS_AT_ONCE, new Nature(300, 10, 1, Carry.BY_CORES, 0),
-            Kind.LATER_TRIES, new Nature(10, 10, 1, Carry.AS_IS, 1)));
+            Kind.OUTGOING, new Nature(60, 1000, 10, Carry.BY_POWER, 0)));
 
     static Nature of(Kind kind) {
         return ALL.get(kind);
--- a/src/main/java/topazladder/net/codec/LineReader.java
+++ b/src/main/java/topazladder/net/codec/LineReader.java
@@ -88,7 +88,7 @@
         return true;
     }
 
-    static int length(String word) throws Malformed {
+    public static int length(String word) throws Malformed {
         return (int) whole(word, Integer.MAX_VALUE);
     }
 
--- /dev/null
+++ b/src/main/java/topazladder/rig/LiveCallers.java
@@ -0,0 +1,268 @@
+package topazladder.rig;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.DoubleSupplier;
+import java.util.random.RandomGenerator;
+import topazladder.emulator.Traffic;
+import topazladder.emulator.Traffic.Wanted;
+import topazladder.service.Timers;
+
+/** The callers of one instance, on a few connections; what that one defers they try at another, once. */
+final class LiveCallers {
+    private static final int CONNECTIONS = 6;
+    private static final int MOST_OPEN = 30;
+    private static final double HEEDED = 1;
+
+    /** What is asked of one try, and what an answer says. */
+    private record Tried(Wanted wanted, String fingerprint, double first, boolean laterTry, LiveCallers of) {
+    }
+
+    private final Vertx vertx;
+    private final DoubleSupplier clock;
+    private final Timers timers;
+    private final int port;
+    private final LiveRuntime machine;
+    private final List<LiveCallers> all;
+    private final Traffic traffic;
+    private final RandomGenerator habits;
+    private final double rate;
+    private final double heed;
+    private final double retry;
+    private final double reading;
+    private final double scale;
+    private final NetClient client;
+    private final List<Line> lines = new ArrayList<>();
+    private final String name;
+    private double level;
+    private double heardAt = Double.NEGATIVE_INFINITY;
+    private long refs;
+    private long marks;
+    private int turn;
+    private boolean over;
+    private double from = Double.POSITIVE_INFINITY;
+    private double window;
+    private double[] asked = new double[0];
+    private double[] earned = new double[0];
+
+    /** @param scale of all times, beside those of the operators' brief */
+    LiveCallers(Vertx vertx, DoubleSupplier clock, Timers timers, String name, int port, LiveRuntime machine,
+                List<LiveCallers> all, List<Traffic.Kind> kinds, double rate, double[] habits, double reading,
+                double scale, long seed) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.timers = timers;
+        this.name = name;
+        this.port = port;
+        this.machine = machine;
+        this.all = all;
+        this.rate = rate;
+        heed = habits[0];
+        retry = habits[1];
+        this.reading = reading;
+        this.scale = scale;
+        SplittableRandom chance = new SplittableRandom(seed);
+        traffic = new Traffic(chance.split(), kinds);
+        this.habits = chance.split();
+        client = vertx.createNetClient(new NetClientOptions().setTcpNoDelay(true).setConnectTimeout(500));
+    }
+
+    void begin() {
+        for (int i = 0; i < CONNECTIONS; i++) {
+            lines.add(new Line());
+        }
+        timers.in(traffic.gap(rate), this::next);
+    }
+
+    void count(double start, double eachWindow, int windows) {
+        window = eachWindow;
+        asked = new double[windows];
+        earned = new double[windows];
+        from = start;
+    }
+
+    void end() {
+        over = true;
+        lines.forEach(Line::close);
+        client.close();
+    }
+
+    double[] asked() {
+        return asked;
+    }
+
+    double[] earned() {
+        return earned;
+    }
+
+    private int at(double time) {
+        int i = (int) Math.floor((time - from) / window);
+        return time < from || i >= asked.length ? -1 : i;
+    }
+
+    private void next() {
+        if (over) {
+            return;
+        }
+        Wanted w = traffic.next();
+        double now = clock.getAsDouble();
+        int i = at(now);
+        if (i >= 0) {
+            asked[i] += w.kind().offering().payoff();
+        }
+        boolean heeds = habits.nextDouble() < heed;
+        if (!heeds || now - heardAt > HEEDED * scale || w.rank() >= level) {
+            String fingerprint = w.kind().offering().window() > 0
+                    ? String.format("%08x%024x", name.hashCode(), ++marks) : null;
+            send(this, new Tried(w, fingerprint, now, false, this));
+        }
+        timers.in(traffic.gap(rate), this::next);
+    }
+
+    private static void send(LiveCallers to, Tried t) {
+        to.machine.read(to.reading, () -> {
+            // In turn, as one that says nothing for two seconds is closed.
+            for (int i = 0; i < CONNECTIONS; i++) {
+                Line line = to.lines.get(++to.turn % CONNECTIONS);
+                if (line.free()) {
+                    line.send(t);
+                    return;
+                }
+            }
+        });
+    }
+
+    private void answered(Tried t, int code, Map<String, String> fields, byte[] body) {
+        level = Double.parseDouble(fields.getOrDefault("pressure", "0"));
+        heardAt = clock.getAsDouble();
+        double took = heardAt - t.first();
+        if (code == 0 && took <= t.wanted().kind().offering().softLimit()) {
+            boolean poorer = new String(body, StandardCharsets.US_ASCII).startsWith("poorer");
+            int i = t.of().at(t.first());
+            if (i >= 0) {
+                t.of().earned[i] += t.wanted().kind().offering().payoff()
+                        * (poorer ? t.wanted().kind().offering().poorerShare() : 1);
+            }
+        } else if (code == 1 && !t.laterTry() && !fields.containsKey("nowhere") && habits.nextDouble() < retry) {
+            List<LiveCallers> others = all.stream().filter(o -> o != this && !o.over).toList();
+            if (!others.isEmpty()) {
+                LiveCallers next = others.get(habits.nextInt(others.size()));
+                timers.in(0.02 * scale, () -> send(next, new Tried(t.wanted(), t.fingerprint(), t.first(), true, t.of())));
+            }
+        }
+    }
+
+    /** One connection, taken anew when it is lost. */
+    private final class Line {
+        private NetSocket socket;
+        private Buffer unread = Buffer.buffer();
+        private final Map<Integer, Tried> open = new HashMap<>(); // emptied by answers
+        private int stream;
+        private boolean leaving;
+
+        Line() {
+            connect();
+        }
+
+        private void connect() {
+            client.connect(port, "127.0.0.1").onComplete(s -> {
+                socket = s;
+                unread = Buffer.buffer();
+                open.clear();
+                stream = 0;
+                leaving = false;
+                s.handler(this::read);
+                s.closeHandler(v -> {
+                    socket = null;
+                    again();
+                });
+            }, e -> again());
+        }
+
+        private void again() {
+            if (!over) {
+                vertx.setTimer(50, id -> {
+                    if (!over) {
+                        connect();
+                    }
+                });
+            }
+        }
+
+        boolean free() {
+            return socket != null && !leaving && open.size() < MOST_OPEN;
+        }
+
+        void close() {
+            if (socket != null) {
+                socket.close();
+            }
+        }
+
+        void send(Tried t) {
+            open.put(++stream, t);
+            Buffer fields = Buffer.buffer();
+            int count = 0;
+            String[] pairs = {"service", t.wanted().kind().offering().name(),
+                "ref", String.format("%08x%08x", name.hashCode(), ++refs),
+                "since", String.valueOf(System.currentTimeMillis()), "sender", "4", "room", "10",
+                "class_rank", String.format(Locale.ROOT, "%.4f", Math.min(0.9999, t.wanted().rank())),
+                "dup", t.laterTry() ? "1" : null, "replay", t.fingerprint()};
+            for (int i = 0; i < pairs.length; i += 2) {
+                if (pairs[i + 1] != null) {
+                    fields.appendByte((byte) pairs[i].length()).appendString(pairs[i])
+                            .appendShort((short) pairs[i + 1].length()).appendString(pairs[i + 1]);
+                    count++;
+                }
+            }
+            byte[] body = t.wanted().work().body();
+            socket.write(Buffer.buffer().appendInt(6 + fields.length() + body.length).appendByte((byte) 16)
+                    .appendInt(stream).appendByte((byte) count).appendBuffer(fields).appendBytes(body));
+        }
+
+        private void read(Buffer more) {
+            unread = unread.length() == 0 ? more : unread.appendBuffer(more);
+            int at = 0;
+            while (unread.length() - at >= 4 && unread.length() - at - 4 >= unread.getInt(at)) {
+                int length = unread.getInt(at);
+                take(unread.slice(at + 4, at + 4 + length));
+                at += 4 + length;
+            }
+            unread = unread.getBuffer(at, unread.length());
+        }
+
+        private void take(Buffer frame) {
+            int type = frame.getByte(0);
+            if (type == 48) {
+                leaving = true;
+            } else if (type == 17) {
+                Tried t = open.remove(frame.getInt(1));
+                Map<String, String> fields = new HashMap<>();
+                int i = 7;
+                for (int left = frame.getByte(6); left > 0; left--) {
+                    int n = frame.getByte(i);
+                    String key = frame.getString(i + 1, i + 1 + n);
+                    int v = frame.getShort(i + 1 + n);
+                    fields.put(key, frame.getString(i + 3 + n, i + 3 + n + v));
+                    i += 3 + n + v;
+                }
+                if (t != null) {
+                    answered(t, frame.getByte(5), fields, frame.getBytes(i, frame.length()));
+                }
+            }
+            if (leaving && open.isEmpty()) {
+                socket.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/rig/PeerRig.java
@@ -0,0 +1,252 @@
+package topazladder.rig;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import topazladder.config.ServiceTerms;
+import topazladder.emulator.Below;
+import topazladder.emulator.PeerTrial;
+import topazladder.emulator.PeerTrial.Condition;
+import topazladder.emulator.PeerTrial.Outcome;
+import topazladder.emulator.Runtime;
+import topazladder.emulator.Traffic;
+import topazladder.service.Timers;
+
+/**
+ * Real processes of the program on loopback, all round them played by the emulator's parts in real time: two that are
+ * warm, then two that return cold at the same moment with tickets of the same kind, one told by a warm one and one not.
+ * All times are a quarter of the operators' brief, so that a pair takes half a minute.
+ */
+public final class PeerRig {
+    private static final double SCALE = 0.25;
+    private static final double WARMING = 12;
+    private static final double MEASURED = 7.5;
+    private static final double CORES = 6;
+    private static final int INSTANCES = 4;
+
+    /** Both outcomes of one run: the one that was told and the one that was not. */
+    public record Pair(Outcome told, Outcome alone, int factsTaken) {
+    }
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+    private final Path folder;
+    private final String program;
+    private final String jar;
+
+    private PeerRig(Path folder) {
+        this.folder = folder;
+        program = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        jar = jar();
+    }
+
+    private static String jar() {
+        Path built = Path.of("target", "topazladder.jar");
+        if (!Files.exists(built)) {
+            throw new IllegalStateException("target/topazladder.jar is missing; build it first");
+        }
+        return built.toAbsolutePath().toString();
+    }
+
+    private static double seconds() {
+        return System.nanoTime() / 1e9;
+    }
+
+    public static Pair play(Condition condition, long seed) throws Exception {
+        Path folder = Files.createTempDirectory("topazladder-rig");
+        PeerRig rig = new PeerRig(folder);
+        try {
+            return rig.run(condition, seed);
+        } finally {
+            rig.vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+            if (System.getProperty("keep") != null) {
+                System.err.println(folder);
+                return null;
+            }
+            for (File each : folder.toFile().listFiles()) {
+                Files.delete(each.toPath());
+            }
+            Files.delete(folder);
+        }
+    }
+
+    private static int[] freePorts(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        int[] ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            held.add(s);
+            ports[i] = s.getLocalPort();
+        }
+        for (ServerSocket s : held) {
+            s.close();
+        }
+        return ports;
+    }
+
+    private <T> T onLoop(Supplier<T> what) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        vertx.runOnContext(v -> {
+            try {
+                done.complete(what.get());
+            } catch (RuntimeException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get(20, TimeUnit.SECONDS);
+    }
+
+    private Pair run(Condition condition, long seed) throws Exception {
+        int[] ports = freePorts(3 * INSTANCES + 2);
+        int index = ports[3 * INSTANCES];
+        int control = ports[3 * INSTANCES + 1];
+        SplittableRandom chance = new SplittableRandom(seed);
+        Runtime.Shape shape = new Runtime.Shape(CORES, 1, 0.25 + 0.15 * chance.nextDouble(),
+                (6 + 10 * chance.nextDouble()) * SCALE, 2);
+        DoubleSupplier clock = PeerRig::seconds;
+        Timers timers = (s, what) -> vertx.setTimer(Math.max(1, Math.round(s * 1000)), id -> what.run());
+        Path key = folder.resolve("key");
+        Files.writeString(key, "the key of this rig " + seed);
+        List<Process> processes = new ArrayList<>();
+        try {
+            List<LiveRuntime> machines = new ArrayList<>();
+            List<LiveCallers> callers = new ArrayList<>();
+            Below below = onLoop(() -> new Below(clock, timers, 2 * INSTANCES));
+            LiveIndex live = onLoop(() -> new LiveIndex(vertx, below, index));
+            List<Traffic.Kind> kinds = null;
+            double meanRun = 0.3 * SCALE;
+            // Both that return get tickets of the same seed: what one is asked the other is asked as well.
+            long coldSeed = chance.nextLong();
+            for (int i = 0; i < INSTANCES; i++) {
+                int n = i;
+                String name = List.of("warm0", "warm1", "told", "alone").get(i);
+                Path config = folder.resolve(name + ".json");
+                String text = config(name, ports[3 * i], ports[3 * i + 1], index, control).encode();
+                Files.writeString(config, text);
+                kinds = PeerTrial.kinds(ServiceTerms.of(text, Map.of()).terms(), SCALE);
+                List<Traffic.Kind> mix = kinds;
+                machines.add(onLoop(() -> new LiveRuntime(vertx, clock, timers, ports[3 * n + 1])));
+                long mine = i < 2 ? chance.nextLong() : coldSeed;
+                callers.add(onLoop(() -> new LiveCallers(vertx, clock, timers, name, ports[3 * n], machines.get(n), callers,
+                        mix, condition.load() * CORES / meanRun, new double[] {PeerTrial.HEED, PeerTrial.RETRY},
+                        PeerTrial.READING * meanRun, SCALE, mine)));
+            }
+            List<LiveCallers> returning = List.copyOf(callers.subList(2, 4));
+            onLoop(() -> callers.removeAll(returning));
+            for (int i = 0; i < 2; i++) {
+                int n = i;
+                processes.add(start(List.of("warm0", "warm1").get(i), ports[3 * i + 2], List.of(), key));
+                onLoop(() -> {
+                    machines.get(n).up(shape, false);
+                    callers.get(n).begin();
+                    return null;
+                });
+            }
+            Thread.sleep((long) (WARMING * 500));
+            // Started well before they are up, as a machine is: the program awaits its runtime meanwhile.
+            processes.add(start("told", ports[8], List.of(ports[2], ports[5]), key));
+            processes.add(start("alone", ports[11], List.of(), key));
+            Thread.sleep((long) (WARMING * 500 - 4000 * SCALE * 3));
+            onLoop(() -> {
+                below.slowDown(condition.slower());
+                return null;
+            });
+            Thread.sleep((long) (4000 * SCALE * 3));
+            double begin = onLoop(() -> {
+                double now = seconds();
+                machines.get(2).up(shape, true);
+                machines.get(3).up(shape, true);
+                returning.forEach(LiveCallers::begin);
+                callers.addAll(returning);
+                int windows = (int) (MEASURED / (PeerTrial.WINDOW * SCALE));
+                callers.forEach(c -> c.count(now, PeerTrial.WINDOW * SCALE, windows));
+                return now;
+            });
+            Thread.sleep((long) ((MEASURED + 1) * 1000));
+            Outcome told = onLoop(() -> outcome(callers.get(2), callers.get(0)));
+            Outcome alone = onLoop(() -> outcome(callers.get(3), callers.get(0)));
+            onLoop(() -> {
+                callers.forEach(LiveCallers::end);
+                machines.forEach(LiveRuntime::close);
+                live.close();
+                return begin;
+            });
+            return new Pair(told, alone, facts(folder.resolve("told.log")));
+        } finally {
+            for (Process p : processes) {
+                p.destroy();
+            }
+            for (Process p : processes) {
+                if (!p.waitFor(4, TimeUnit.SECONDS)) {
+                    p.destroyForcibly().waitFor();
+                }
+            }
+        }
+    }
+
+    private static int facts(Path log) throws IOException {
+        return Files.readAllLines(log).stream().filter(l -> l.contains("facts taken"))
+                .map(l -> l.replaceAll(".*, (\\d+) facts taken.*", "$1")).mapToInt(Integer::parseInt).sum();
+    }
+
+    private static Outcome outcome(LiveCallers cold, LiveCallers warm) {
+        return new Outcome(PeerTrial.WINDOW * SCALE, cold.asked(), cold.earned(), warm.asked(), warm.earned());
+    }
+
+    private Process start(String name, int peerPort, List<Integer> peers, Path key) throws IOException {
+        StringBuilder settings = new StringBuilder("machine { core_speed: 1 }\npeering {\n  listen: \"127.0.0.1:" + peerPort
+                + "\"\n  key_file: \"" + key.getFileName() + "\"\n");
+        for (int i = 0; i < peers.size(); i++) {
+            settings.append("  peers { name: \"warm").append(i).append("\" address: \"127.0.0.1:").append(peers.get(i))
+                    .append("\" }\n");
+        }
+        Path file = folder.resolve(name + ".txtpb");
+        Files.writeString(file, settings.append("}\n"));
+        ProcessBuilder builder = new ProcessBuilder(program, "-XX:+UseSerialGC", "-Xmx64m", "-XX:TieredStopAtLevel=1",
+                "-Dvertx.disableDnsResolver=true", "-jar", jar, "serve", "--settings", file.toString());
+        builder.environment().put("GW_CONFIG", folder.resolve(name + ".json").toString());
+        builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
+        return builder.start();
+    }
+
+    private static JsonObject config(String name, int port, int runtime, int index, int control) {
+        long soft = (long) (1.8e9 * SCALE);
+        long outer = (long) (4.6e9 * SCALE);
+        JsonArray classes = new JsonArray()
+                .add(offering("stock-check", "safe", soft, outer, 1))
+                .add(offering("price-push", "safe", soft, outer, 2))
+                .add(offering("order-place", "keyed", soft, outer, 10).put("WindowNs", 13_671_000_000L));
+        return new JsonObject().put("name", name).put("listen", "127.0.0.1:" + port)
+                .put("runtime", "127.0.0.1:" + runtime).put("index", "127.0.0.1:" + index)
+                .put("control", "127.0.0.1:" + control).put("seed", "1").put("stop_ms", 2000)
+                .put("limits", new JsonObject().put("sockets", 512))
+                .put("settings", new JsonObject().put("Classes", classes).put("Extra", new JsonObject()
+                        .put("CallsByClass", new JsonArray().add(true).add(true).add(true))
+                        .put("ClassSkipWorth", new JsonArray().add(0.5).add(0).add(0)).put("Below", "common")
+                        .put("CallsOut", 10).put("CallsOverNs", (long) (5e9 * SCALE)).put("Cores", CORES)
+                        .put("MemoryKb", 200_000).put("RunFactor", 8).put("KeyKb", 10).put("Say", "min_rank")
+                        .put("HeededNs", (long) (1e9 * SCALE)).put("OwnStats", new JsonArray().add("core_use").add("on_cores")))
+                        .put("PolicyLimits", new JsonObject().put("RetryAfter", true).put("MaxRetryAfterNs", 1_000_000_000L))
+                        .put("Safety", new JsonObject().put("AnswerSlackNs", 100_000_000L).put("DrainGraceNs", 1_000_000_000L)
+                                .put("FallMultiple", 8).put("ColdFrom", 0.25).put("WarmAfterNs", (long) (16e9 * SCALE))));
+    }
+
+    private static JsonObject offering(String name, String repeats, long soft, long outer, double payoff) {
+        return new JsonObject().put("Name", name).put("Idempotency", repeats).put("TargetNs", soft)
+                .put("DeadlineNs", outer).put("Importance", payoff);
+    }
+}
--- a/src/main/java/topazladder/ticket/Learned.java
+++ b/src/main/java/topazladder/ticket/Learned.java
@@ -13,21 +13,9 @@
     public enum Kind {
         /** Seconds that a run of the offering takes. */
         RUN_TIME,
-        /** Seconds that a call takes, whichever run makes it. */
-        CALL_TIME,
-        /** Seconds that a call takes when nothing crowds what lies below. */
-        CALL_QUICKEST,
         /** Calls in hand on this server while nothing is strained. */
         CALLS_IN_HAND,
-        /** How many times the quickest recent calls took. */
-        STRAIN,
-        /** Kilobytes that a ticket takes while held. */
-        FOOTPRINT,
         /** Tickets finished a second on this server. */
-        OUTGOING,
-        /** Runs at once that kept this server's cores busy, where runs wait for more than cores. */
-        RUNS_AT_ONCE,
-        /** Share of arrivals that were turned away elsewhere before. */
-        LATER_TRIES
+        OUTGOING
     }
 }
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 import topazladder.ticket.Ending;
+import topazladder.ticket.Learned.Kind;
 
 /** Each test plays a short scene and compares what was decided with a trace kept for readers. */
 class BrainTest {
@@ -149,4 +150,52 @@
         new Desk().with("cores", 2.0).with("memory", 2000.0).with("below", "common").with("calls-share", 2.0)
                 .open().play(20261201, 160).matches("unlearned");
     }
+
+    @Test
+    void whatOthersFinishTurnsAwayAtOnceWhatCanNotCome() {
+        Desk desk = new Desk().with("memory", 10000.0).open();
+        desk.learn(Kind.OUTGOING, "", 1, 30).learn(Kind.RUN_TIME, "read", 0.4, 3);
+        for (int i = 0; i < 5; i++) {
+            desk.arrive("a" + i, READ);
+        }
+        desk.until(0.5).runEnds("a0", Ending.OK).matches("learned-outgoing");
+    }
+
+    @Test
+    void learnedRunTimesGrowWithTheColdOnesSlownessAndNeverMakeHopelessWhatCouldStart() {
+        Desk desk = new Desk().with("memory", 10000.0).with("cold", true).with("cold-from", 0.2)
+                .with("warm-after", 16.0).open();
+        desk.learn(Kind.RUN_TIME, "read", 0.3, 3).learn(Kind.RUN_TIME, "place", 99, 3)
+                .learn(Kind.RUN_TIME, "unheard-of", 1, 3);
+        desk.arrive("p", PLACE).at(0.6).arrive("late", READ, 0.3, 0.9, null).arrive("new", READ).runEnds("p", Ending.OK)
+                .matches("learned-run-times");
+    }
+
+    @Test
+    void learnedCallsLiftNoBoundOnWhatLiesBelowAndOwnOnesOverruleThem() {
+        Desk desk = new Desk().with("below", "common").with("calls-share", 2.0).with("calls-span", 5.0)
+                .with("cores", 4.0).with("memory", 10000.0).open();
+        desk.learn(Kind.CALLS_IN_HAND, "", 1e9, 1000).quietly(d -> d.arrive("f", READ).wantsCall("f")
+                .callEnds("f", Ending.FAILED).runEnds("f", Ending.OK));
+        for (int i = 0; i < 6; i++) {
+            desk.arrive("c" + i, ISSUE).wantsCall("c" + i);
+        }
+        desk.matches("learned-calls");
+    }
+
+    @Test
+    void onlyWhatIsAllOwnAndOfAWarmServerIsToldToOthers() {
+        Desk desk = new Desk().with("cores", 4.0).with("memory", 10000.0).open();
+        desk.learn(Kind.RUN_TIME, "read", 0.9, 3).tells();
+        for (int i = 0; i < 10; i++) {
+            desk.at(i).quietly(d -> d.arrive("r", READ).runEnds("r", Ending.OK));
+        }
+        desk.tells();
+        Desk cold = new Desk().with("cold", true).with("cold-from", 0.2).with("warm-after", 16.0).open();
+        for (int i = 0; i < 10; i++) {
+            cold.at(i).quietly(d -> d.arrive("r", READ).runEnds("r", Ending.OK));
+        }
+        cold.tells().matches("learned-cold");
+        desk.matches("learned-told");
+    }
 }
--- a/src/test/java/topazladder/Desk.java
+++ b/src/test/java/topazladder/Desk.java
@@ -42,6 +42,8 @@
 import topazladder.service.RuntimePort;
 import topazladder.service.Timers;
 import topazladder.ticket.Ending;
+import topazladder.ticket.Learned;
+import topazladder.ticket.Learned.Kind;
 import topazladder.ticket.Offering;
 import topazladder.ticket.Offering.Repeats;
 import topazladder.ticket.Ruling;
@@ -176,6 +178,21 @@
         return this;
     }
 
+    /** Takes what another server learned. */
+    Desk learn(Kind kind, String subject, double value, double weight) {
+        write("learns " + kind + " " + subject + " " + value,
+                brain.learn(now, List.of(new Learned(kind, subject, value, weight, 0))));
+        return this;
+    }
+
+    Desk tells() {
+        StringBuilder all = new StringBuilder("tells");
+        brain.learned(now).forEach(l -> all.append(String.format(Locale.ROOT, " %s %s %.2f of %.0f", l.kind(),
+                l.subject(), l.value(), l.weight())));
+        write(all.toString(), List.of());
+        return this;
+    }
+
     Desk callerGone(String name) {
         write("caller of " + name + " gone", brain.callerGone(now, tickets.get(name)));
         return this;
