--- /dev/null
+++ b/src/test/java/topazladder/PackedProgramIT.java
@@ -0,0 +1,99 @@
+package topazladder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.jar.JarFile;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as it is packed: the plain one must not pay for the parts that are off. */
+@Timeout(60)
+class PackedProgramIT {
+    private static final Path JAR = Path.of("target", "topazladder.jar").toAbsolutePath();
+    @TempDir
+    private Path folder;
+
+    @Test
+    void thePlainProgramOpensNoLibraryOfTheOtherPartsAndLoadsNoneOfTheirClasses() throws Exception {
+        Path log = folder.resolve("log");
+        Process plain = start(log, List.of("-Xlog:class+load:file=" + folder.resolve("classes")), "serve");
+        try {
+            awaitLine(log, "is awaiting runtime after starting", 2);
+            String open;
+            try (Stream<Path> all = Files.list(Path.of("/proc", String.valueOf(plain.pid()), "fd"))) {
+                open = all.map(PackedProgramIT::target).collect(Collectors.joining("\n"));
+            }
+            assertThat(open).contains("target/lib").doesNotContain("target/extra");
+            assertThat(Files.readString(folder.resolve("classes"))).contains("topazladder.net.Service ")
+                    .doesNotContain("topazladder.net.peer").doesNotContain("topazladder.knowledge")
+                    .doesNotContain("picocli").doesNotContain("com.google.protobuf");
+        } finally {
+            plain.destroy();
+            plain.waitFor(20, TimeUnit.SECONDS);
+        }
+        assertThat(plain.exitValue()).isZero();
+        try (JarFile jar = new JarFile(JAR.toFile())) {
+            assertThat(jar.getManifest().getMainAttributes().getValue("Class-Path")).doesNotContain("extra");
+        }
+    }
+
+    @Test
+    void ownSettingsSwitchOnAPartAndWhatIsWrongInThemIsOneLine() throws Exception {
+        Files.writeString(folder.resolve("key"), "sixteen or more bytes\n");
+        Path settings = folder.resolve("own.txtpb");
+        Files.writeString(settings, "peering { key_file: \"key\" peers { name: \"p\" address: \"127.0.0.1:9\" } }");
+        Path log = folder.resolve("log");
+        Process serving = start(log, List.of(), "serve", "--settings", settings.toString());
+        try {
+            awaitLine(log, "asking peers is over: given up after 2 tries", 1);
+        } finally {
+            serving.destroy();
+            serving.waitFor(20, TimeUnit.SECONDS);
+        }
+        Files.writeString(settings, "peering { tries: -1 }");
+        Process wrong = start(folder.resolve("wrong"), List.of(), "serve", "--settings", settings.toString());
+        assertThat(wrong.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(wrong.exitValue()).isEqualTo(2);
+        assertThat(Files.readAllLines(folder.resolve("wrong"))).hasSize(1).allMatch(l -> l.startsWith("serve: settings: line 1"));
+    }
+
+    private Process start(Path log, List<String> flags, String... command) throws IOException {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Dvertx.disableDnsResolver=true"));
+        line.addAll(flags);
+        line.addAll(List.of("-jar", JAR.toString()));
+        line.addAll(List.of(command));
+        ProcessBuilder builder = new ProcessBuilder(line);
+        builder.environment().put("GW_CONFIG", Path.of("deploy", "rehearsal.json").toAbsolutePath().toString());
+        return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    private static void awaitLine(Path log, String text, int times) throws Exception {
+        for (int i = 0; i < 300; i++) {
+            if (Files.exists(log)
+                    && Files.readString(log, StandardCharsets.UTF_8).split(text, -1).length > times) {
+                return;
+            }
+            Thread.sleep(100);
+        }
+        throw new AssertionError("no line '" + text + "' in:\n" + Files.readString(log));
+    }
+
+    private static String target(Path link) {
+        try {
+            return Files.readSymbolicLink(link).toString();
+        } catch (IOException e) {
+            return ""; // closed since
+        }
+    }
+}
