--- /dev/null
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -0,0 +1,395 @@
+package topazladder.delivery;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.random.RandomGenerator;
+import topazladder.config.Terms;
+import topazladder.delivery.BrokerPort.Publication;
+import topazladder.delivery.Delivery.Properties;
+import topazladder.delivery.Mapping.Mapped;
+import topazladder.delivery.Outcomes.Outcome;
+import topazladder.delivery.Outcomes.What;
+import topazladder.delivery.Outcomes.Why;
+import topazladder.delivery.QueueTerms.Route;
+import topazladder.service.Answer;
+import topazladder.service.Answer.How;
+import topazladder.service.Caller;
+import topazladder.service.Counters;
+import topazladder.service.Counters.Count;
+import topazladder.service.Exchange;
+import topazladder.service.InHand;
+import topazladder.service.Timers;
+import topazladder.ticket.Offering.Repeats;
+
+/**
+ * Deliveries of one broker as tickets of the exchange: each that came gets exactly one outcome while its link lives, and
+ * none afterwards, as the broker then brings it again. It does no I/O.
+ */
+public final class Consumer {
+    /** Set on what is dead-lettered: why. */
+    static final String REASON = "x-topazladder-reason";
+    /** Results that wait for the broker's confirmation. */
+    private static final int MOST_REPLY_BYTES = 4 << 20;
+    /** Seconds until a publication that failed is tried again, doubled each time. */
+    private static final double FIRST_WAIT = 0.1;
+    private static final int MOST_PUBLISHED = 5;
+    private static final double LEAST_DELAY = 0.1;
+
+    private enum Phase {
+        /** The module has its ticket. */
+        IN_MODULE,
+        /** Its turn to go back has not come. */
+        AWAITING_TURN,
+        /** A reply or a copy is published and not confirmed. */
+        PUBLISHING,
+        /** It has its outcome. */
+        SETTLED,
+        /** Its link went first: the broker brings it again. */
+        LOST
+    }
+
+    private final class Open implements Caller {
+        final Queue queue;
+        final Delivery delivery;
+        final Mapped mapped;
+        Phase phase = Phase.IN_MODULE;
+        InHand inHand;
+        long publication;
+        int published;
+        Publication what;
+        boolean reply;
+
+        Open(Queue queue, Delivery delivery, Mapped mapped) {
+            this.queue = queue;
+            this.delivery = delivery;
+            this.mapped = mapped;
+        }
+
+        @Override public void answer(Answer a) {
+            answered(this, a.how(), a);
+        }
+
+        @Override public void unusable(Answer a) {
+            answered(this, null, a);
+        }
+
+        @Override public void health(boolean good, Double level) {
+            throw new IllegalStateException("no delivery asks for health");
+        }
+    }
+
+    private final class Queue {
+        final QueueTerms terms;
+        final Prefetch prefetch;
+        final Pace returns;
+        /** By tag; emptied by outcomes and as the link goes. */
+        final Map<Long, Open> open = new LinkedHashMap<>();
+        double highestRank = 1;
+
+        Queue(QueueTerms terms) {
+            this.terms = terms;
+            prefetch = new Prefetch(terms.mostPrefetch());
+            returns = new Pace(terms.requeuesPerSecond());
+        }
+    }
+
+    private final DoubleSupplier clock;
+    private final Timers timers;
+    private final Exchange exchange;
+    private final Counters counters;
+    private final RandomGenerator chance;
+    private final BrokerPort port;
+    private final Mapping mapping;
+    private final Map<String, Queue> queues = new LinkedHashMap<>();
+    private final Remembered remembered = new Remembered();
+    /** By number; emptied by confirmations and as the link goes. */
+    private final Map<Long, Open> publications = new HashMap<>();
+    private long lastPublication;
+    private int replyBytes;
+    private boolean leaving;
+
+    public Consumer(DoubleSupplier clock, Timers timers, Exchange exchange, Counters counters, RandomGenerator chance,
+                    BrokerPort port, Terms terms, List<QueueTerms> queues) {
+        this.clock = clock;
+        this.timers = timers;
+        this.exchange = exchange;
+        this.counters = counters;
+        this.chance = chance;
+        this.port = port;
+        mapping = new Mapping(terms);
+        queues.forEach(q -> this.queues.put(q.queue(), new Queue(q)));
+    }
+
+    /** Deliveries that have no outcome yet and can still get one. */
+    public int open() {
+        return queues.values().stream().mapToInt(q -> q.open.size()).sum();
+    }
+
+    public int window(String queue) {
+        return queues.get(queue).prefetch.window();
+    }
+
+    public boolean leaving() {
+        return leaving;
+    }
+
+    // ---- From the link
+
+    public void delivered(Delivery d) {
+        Queue q = queues.get(d.queue());
+        double now = clock.getAsDouble();
+        counters.add(Count.DELIVERIES_TAKEN);
+        Mapped m = mapping.map(d, q.terms, ref(), now);
+        Open o = new Open(q, d, m);
+        q.open.put(d.tag(), o);
+        if (q.open.size() >= q.prefetch.window()) {
+            q.prefetch.filled();
+        }
+        if (m.why() != null) {
+            settle(o, Outcomes.dead(Why.NOT_MAPPED), m.why());
+        } else if (d.redelivered() && remembered.isDone(d, m.tries(), now)) {
+            // Its acknowledgement was lost on the way.
+            acknowledge(o);
+        } else if (leaving) {
+            settle(o, Outcomes.of(How.DEFERRED, m.offering().repeats(), m.tries(), q.terms, true), "leaving");
+        } else if (d.redelivered() && unsafe(m, q.terms)) {
+            settle(o, Outcomes.dead(Why.MAY_HAVE_RUN), "it came before, and nothing is known of it");
+        } else {
+            q.highestRank = Math.max(m.arrival().rank(), q.highestRank * 0.95);
+            o.inHand = exchange.arrive(m.arrival(), o);
+        }
+    }
+
+    /** Whether it may have run elsewhere, or here before all that is remembered. */
+    private boolean unsafe(Mapped m, QueueTerms terms) {
+        return switch (m.offering().repeats()) {
+            case RETRIABLE -> false;
+            case BINDING -> true;
+            case FINGERPRINTED -> !terms.runUnknownRedelivered()
+                    && !exchange.remembers(m.arrival().fingerprint(), m.arrival().since());
+        };
+    }
+
+    /** All that is open will come again, on the next link. */
+    public void linkLost() {
+        queues.values().forEach(this::lost);
+        publications.clear();
+    }
+
+    /** The same for one queue, whose channel ended. */
+    public void channelLost(String queue) {
+        lost(queues.get(queue));
+    }
+
+    private void lost(Queue q) {
+        List<Open> all = new ArrayList<>(q.open.values());
+        q.open.clear();
+        for (Open o : all) {
+            counters.add(Count.DELIVERIES_LOST);
+            Phase was = o.phase;
+            o.phase = Phase.LOST;
+            letGo(o);
+            // One without an effect is run again when it comes again; one with an effect goes on, and its result is kept.
+            if (was == Phase.IN_MODULE && o.inHand != null && o.mapped.offering().repeats() == Repeats.RETRIABLE) {
+                exchange.callerGone(o.inHand);
+            }
+        }
+    }
+
+    /** @param ok the broker has it; else it came back or was refused */
+    public void published(long number, boolean ok) {
+        Open o = publications.remove(number);
+        if (o == null || o.phase != Phase.PUBLISHING) {
+            return;
+        }
+        if (o.reply) {
+            counters.add(ok ? Count.REPLIES_CONFIRMED : Count.REPLIES_UNROUTABLE);
+            letGo(o);
+            acknowledge(o);
+        } else if (ok) {
+            acknowledge(o);
+        } else if (o.published < MOST_PUBLISHED) {
+            timers.in(FIRST_WAIT * Math.pow(2, o.published), () -> {
+                if (o.phase == Phase.PUBLISHING) {
+                    publish(o, o.what);
+                }
+            });
+        } else {
+            // No route to where it should wait: the queue's own dead-lettering is what is left.
+            counters.add(Count.DELIVERIES_DEAD_LETTERED);
+            close(o);
+            port.reject(o.queue.terms.queue(), o.delivery.tag(), false);
+        }
+    }
+
+    // ---- From the exchange
+
+    private void answered(Open o, How how, Answer a) {
+        o.queue.prefetch.ended(how == How.DEFERRED);
+        if (o.phase == Phase.LOST) {
+            if (how == How.HONOURED) {
+                remembered.done(o.delivery, o.mapped.tries(), clock.getAsDouble());
+            }
+            return;
+        }
+        if (o.phase != Phase.IN_MODULE) {
+            return; // handed back before it began
+        }
+        Outcome outcome = Outcomes.of(how, o.mapped.offering().repeats(), tries(o), o.queue.terms, leaving);
+        String replyTo = o.delivery.properties().replyTo();
+        if (outcome.what() == What.ACKNOWLEDGE && replyTo != null && !replyTo.isEmpty()) {
+            reply(o, replyTo, a.body());
+        } else {
+            settle(o, outcome, how == null ? "it can't be decided on" : how.name().toLowerCase(Locale.ROOT),
+                    a.stayAway());
+        }
+    }
+
+    private int tries(Open o) {
+        return o.mapped.tries() + remembered.returns(o.delivery, o.mapped.tries());
+    }
+
+    private void reply(Open o, String replyTo, byte[] result) {
+        if (replyBytes + result.length > MOST_REPLY_BYTES) {
+            // Its effect is done; waiting for room would bring it again and again.
+            counters.add(Count.REPLIES_LET_GO);
+            acknowledge(o);
+            return;
+        }
+        replyBytes += result.length;
+        o.reply = true;
+        counters.add(Count.REPLIES_SENT);
+        // The default exchange takes it to the queue of that name.
+        publish(o, new Publication("", replyTo, Map.of(), new Properties(null, o.delivery.properties().correlationId(), null,
+                null, 0, 0, -1), 0, result));
+    }
+
+    /** Gives back the room of a result that was confirmed, or whose link is gone. */
+    private void letGo(Open o) {
+        if (o.reply) {
+            o.reply = false;
+            replyBytes -= o.what.body().length;
+        }
+    }
+
+    // ---- Outcomes
+
+    private void settle(Open o, Outcome outcome, String reason) {
+        settle(o, outcome, reason, 0);
+    }
+
+    private void settle(Open o, Outcome outcome, String reason, double stayAway) {
+        double now = clock.getAsDouble();
+        String queue = o.queue.terms.queue();
+        switch (outcome.what()) {
+            case ACKNOWLEDGE -> acknowledge(o);
+            case HAND_BACK -> {
+                counters.add(Count.DELIVERIES_HANDED_BACK);
+                close(o);
+                port.reject(queue, o.delivery.tag(), true);
+            }
+            case RETURN -> {
+                o.phase = Phase.AWAITING_TURN;
+                remembered.returned(o.delivery, o.mapped.tries(), now);
+                timers.in(Math.max(stayAway, o.queue.returns.turn(now)), () -> {
+                    if (o.phase == Phase.AWAITING_TURN) {
+                        counters.add(Count.DELIVERIES_RETURNED);
+                        close(o);
+                        port.reject(queue, o.delivery.tag(), true);
+                    }
+                });
+            }
+            case DELAY -> {
+                Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
+                // What x-death counts stays in that header; this one counts the rest.
+                headers.put(Mapping.TRIES, String.valueOf(tries(o) - o.delivery.deaths() + 1));
+                copy(o, o.queue.terms.delay(), headers, Math.max(LEAST_DELAY, stayAway));
+            }
+            case DEAD_LETTER -> {
+                Route route = o.queue.terms.deadLetter();
+                if (route == null) {
+                    counters.add(Count.DELIVERIES_DEAD_LETTERED);
+                    close(o);
+                    port.reject(queue, o.delivery.tag(), false);
+                } else {
+                    Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
+                    headers.put(REASON, outcome.why().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + reason);
+                    copy(o, route, headers, 0);
+                }
+            }
+        }
+    }
+
+    private void copy(Open o, Route route, Map<String, String> headers, double delay) {
+        publish(o, new Publication(route.exchange(), route.routingKey().isEmpty() ? o.delivery.routingKey()
+                : route.routingKey(), headers, o.delivery.properties(), delay, o.delivery.body()));
+    }
+
+    private void publish(Open o, Publication what) {
+        o.phase = Phase.PUBLISHING;
+        o.what = what;
+        o.published++;
+        o.publication = ++lastPublication;
+        publications.put(o.publication, o);
+        port.publish(o.publication, what);
+    }
+
+    private void acknowledge(Open o) {
+        counters.add(o.what == null || o.what.exchange().isEmpty() ? Count.DELIVERIES_ACKNOWLEDGED
+                : o.what.headers().containsKey(REASON) ? Count.DELIVERIES_DEAD_LETTERED : Count.DELIVERIES_DELAYED);
+        if (o.mapped.why() == null) {
+            remembered.done(o.delivery, o.mapped.tries(), clock.getAsDouble());
+        }
+        close(o);
+        port.acknowledge(o.queue.terms.queue(), o.delivery.tag());
+    }
+
+    private void close(Open o) {
+        if (o.phase == Phase.SETTLED || o.phase == Phase.LOST) {
+            throw new IllegalStateException("a second outcome for " + o.delivery.tag() + " of " + o.delivery.queue());
+        }
+        o.phase = Phase.SETTLED;
+        publications.remove(o.publication, o);
+        o.queue.open.remove(o.delivery.tag(), o);
+    }
+
+    // ---- Leaving, and the window
+
+    /** Nothing new is taken, and all that has not begun goes back at once. */
+    public void leave() {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        for (Queue q : queues.values()) {
+            port.stop(q.terms.queue());
+            for (Open o : List.copyOf(q.open.values())) {
+                boolean unbegun = o.phase == Phase.AWAITING_TURN
+                        || o.phase == Phase.IN_MODULE && o.inHand != null && exchange.withdraw(o.inHand);
+                if (unbegun) {
+                    settle(o, Outcomes.of(How.DEFERRED, o.mapped.offering().repeats(), tries(o), q.terms, true), "leaving");
+                }
+            }
+        }
+    }
+
+    /** To be called a few times a second. */
+    public void look() {
+        double now = clock.getAsDouble();
+        for (Queue q : queues.values()) {
+            if (q.prefetch.look(now, q.highestRank, exchange.level(), replyBytes > MOST_REPLY_BYTES / 2) && !leaving) {
+                port.prefetch(q.terms.queue(), q.prefetch.window());
+            }
+        }
+    }
+
+    /** Names a try at the door; other tries have names of their own makers, so that chance keeps them apart. */
+    private String ref() {
+        return String.format("%016x", chance.nextLong());
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/delivery/Mapping.java
@@ -0,0 +1,105 @@
+package topazladder.delivery;
+
+import java.util.HashMap;
+import java.util.Map;
+import topazladder.config.Terms;
+import topazladder.delivery.QueueTerms.Fields;
+import topazladder.service.Arrival;
+import topazladder.ticket.Offering;
+import topazladder.ticket.Offering.Repeats;
+
+/** Makes a ticket of a message, or says why it is none. It never guesses: what is missing or wild has no default. */
+final class Mapping {
+    /** Set on the copies that wait: how often the message was tried. */
+    static final String TRIES = "x-topazladder-tries";
+    private static final double LARGEST_FOOTPRINT = 2000;
+    private static final double LEAST_FOOTPRINT = 2;
+    private static final int LONGEST_WORD = 200;
+
+    /** A ticket, or why there is none. */
+    record Mapped(Arrival arrival, Offering offering, int tries, String why) {
+
+        static Mapped none(String why) {
+            return new Mapped(null, null, 0, why);
+        }
+    }
+
+    private final Map<String, Offering> offerings = new HashMap<>();
+    private final boolean customers;
+    private final double highestPayoff;
+    private final double longestLimit;
+
+    Mapping(Terms terms) {
+        terms.offerings().forEach(o -> offerings.put(o.name(), o));
+        customers = !terms.customers().isEmpty();
+        highestPayoff = terms.offerings().stream().mapToDouble(Offering::payoff).max().orElse(1);
+        longestLimit = terms.offerings().stream().mapToDouble(Offering::outerLimit).max().orElse(0);
+    }
+
+    Mapped map(Delivery d, QueueTerms terms, String ref, double now) {
+        Fields f = terms.fields();
+        if (d.body().length > terms.mostBytes()) {
+            return Mapped.none("too large: " + d.body().length + " bytes");
+        }
+        Offering offering = offerings.get(String.valueOf(word(f.offering(), d)));
+        if (offering == null) {
+            return Mapped.none("no known offering");
+        }
+        String customer = word(f.customer(), d);
+        if (customers && customer == null) {
+            return Mapped.none("no customer");
+        }
+        boolean fingerprinted = offering.repeats() == Repeats.FINGERPRINTED;
+        String fingerprint = fingerprinted ? word(f.fingerprint(), d) : null;
+        if (fingerprinted && fingerprint == null) {
+            return Mapped.none("no fingerprint");
+        }
+        double rank = number(word(f.rank(), d), f.rank() == null ? rankOf(offering) : Double.NaN);
+        if (f.rank() != null && f.rank().name().equals("priority")) {
+            rank = Math.min(9, rank) / 10;
+        }
+        if (!(rank >= 0 && rank < 1)) {
+            return Mapped.none("a rank that is none");
+        }
+        double footprint = number(word(f.footprint(), d),
+                f.footprint() == null ? LEAST_FOOTPRINT + d.body().length / 1024.0 : Double.NaN);
+        if (!(footprint > 0 && footprint < LARGEST_FOOTPRINT)) {
+            return Mapped.none("a footprint that is none");
+        }
+        double tries = number(d.headers().get(TRIES), 0);
+        if (!(tries >= 0 && tries < 1000)) {
+            return Mapped.none("a number of tries that is none");
+        }
+        int tried = (int) tries + d.deaths();
+        // What waited in the queue is no wait of this machine: its time counts from when it came, unless the publisher's
+        // clock is to be believed and could be right. A clock that is wrong by a day must not make all hopeless.
+        double stamped = now - d.properties().timestamp();
+        boolean believed = f.believeTimestamp() && d.properties().timestamp() > 0 && stamped >= 0 && stamped < longestLimit;
+        double since = believed ? d.properties().timestamp() : now;
+        Arrival arrival = new Arrival(ref, offering.name(), customer, since, tried > 0 || d.redelivered(), footprint, rank,
+                fingerprint, d.body(), Math.max(0, d.properties().expiration()));
+        return new Mapped(arrival, offering, tried, null);
+    }
+
+    /** By its payoff beside the highest, so that the cut turns the cheapest away first. */
+    double rankOf(Offering o) {
+        return Math.max(0, Math.min(0.999, highestPayoff <= 0 ? 0 : o.payoff() / highestPayoff * 0.999));
+    }
+
+    private static String word(Pick pick, Delivery d) {
+        String word = pick == null ? null : pick.of(d);
+        return word == null || word.isEmpty() || word.length() > LONGEST_WORD || word.chars().anyMatch(c -> c <= ' ')
+                ? null : word;
+    }
+
+    private static double number(String word, double other) {
+        if (word == null) {
+            return other;
+        }
+        try {
+            return Double.parseDouble(word);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/delivery/Outcomes.java
@@ -0,0 +1,70 @@
+package topazladder.delivery;
+
+import topazladder.service.Answer.How;
+import topazladder.ticket.Offering.Repeats;
+
+/**
+ * What becomes of a delivery, from what became of its ticket. docs/amqp.md has it as a table; each delivery gets exactly
+ * one of these where its link lives.
+ */
+final class Outcomes {
+
+    enum What {
+        /** It is done; a reply goes first where one is wanted. */
+        ACKNOWLEDGE,
+        /** A copy waits on the route with a delay; once the broker has that, the message is acknowledged. */
+        DELAY,
+        /** Back to its queue, at the pace of returns. */
+        RETURN,
+        /** Back to its queue at once: this instance is leaving, and others take it. */
+        HAND_BACK,
+        /** Out of the way, with the reason. */
+        DEAD_LETTER
+    }
+
+    /** Why something is dead-lettered. */
+    enum Why { NONE, NOT_MAPPED, UNUSABLE, TRIED_TOO_OFTEN, MAY_HAVE_RUN, NO_SAFE_WAY_BACK }
+
+    record Outcome(What what, Why why) {
+    }
+
+    private static final Outcome ACKNOWLEDGE = new Outcome(What.ACKNOWLEDGE, Why.NONE);
+
+    private Outcomes() {
+    }
+
+    /**
+     * @param how null where the ticket could not be decided on
+     * @param tries before this one
+     */
+    static Outcome of(How how, Repeats repeats, int tries, QueueTerms terms, boolean leaving) {
+        if (how == null) {
+            return dead(Why.UNUSABLE);
+        }
+        return switch (how) {
+            case HONOURED -> ACKNOWLEDGE;
+            // One that has an effect and was broken off may have run: another run could be the second.
+            case BROKEN_OFF -> repeats == Repeats.RETRIABLE ? again(repeats, tries, terms, leaving)
+                    : dead(Why.MAY_HAVE_RUN);
+            case DEFERRED -> again(repeats, tries, terms, leaving);
+        };
+    }
+
+    private static Outcome again(Repeats repeats, int tries, QueueTerms terms, boolean leaving) {
+        if (leaving && repeats != Repeats.BINDING) {
+            return new Outcome(What.HAND_BACK, Why.NONE);
+        }
+        if (tries + 1 >= terms.mostTries()) {
+            return dead(Why.TRIED_TOO_OFTEN);
+        }
+        if (terms.delay() != null) {
+            return new Outcome(What.DELAY, Why.NONE);
+        }
+        // Sent back, a binding one would come again as redelivered, and nobody could tell that it never ran.
+        return repeats == Repeats.BINDING ? dead(Why.NO_SAFE_WAY_BACK) : new Outcome(What.RETURN, Why.NONE);
+    }
+
+    static Outcome dead(Why why) {
+        return new Outcome(What.DEAD_LETTER, why);
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/delivery/Pick.java
@@ -0,0 +1,66 @@
+package topazladder.delivery;
+
+import topazladder.config.BadTerms;
+
+/**
+ * Where a ticket's field is taken from. As text: {@code =word} for always that word, {@code header:NAME},
+ * {@code property:NAME}, {@code routing-key}, {@code routing-key:N} for its Nth word counted from 1,
+ * {@code exchange} and {@code queue}.
+ */
+public record Pick(From from, String name, int word) {
+
+    public enum From { ALWAYS, HEADER, PROPERTY, ROUTING_KEY, ROUTING_WORD, EXCHANGE, QUEUE }
+
+    /** @param key where the text stands, for the error; null for an absent text */
+    public static Pick of(String key, String text) {
+        if (text == null || text.isEmpty()) {
+            return null;
+        }
+        if (text.startsWith("=")) {
+            return new Pick(From.ALWAYS, text.substring(1), 0);
+        }
+        String name = text.substring(text.indexOf(':') + 1);
+        if (text.startsWith("header:") && !name.isEmpty()) {
+            return new Pick(From.HEADER, name, 0);
+        }
+        if (text.startsWith("property:")) {
+            switch (name) {
+                case "message-id", "correlation-id", "type", "priority" -> {
+                    return new Pick(From.PROPERTY, name, 0);
+                }
+                default -> throw new BadTerms(key + " should name message-id, correlation-id, type or priority: " + text);
+            }
+        }
+        if (text.matches("routing-key:[1-9][0-9]{0,2}")) {
+            return new Pick(From.ROUTING_WORD, "", Integer.parseInt(name));
+        }
+        return switch (text) {
+            case "routing-key" -> new Pick(From.ROUTING_KEY, "", 0);
+            case "exchange" -> new Pick(From.EXCHANGE, "", 0);
+            case "queue" -> new Pick(From.QUEUE, "", 0);
+            default -> throw new BadTerms(key + " should be =WORD, header:NAME, property:NAME, routing-key, routing-key:N,"
+                    + " exchange or queue: " + text);
+        };
+    }
+
+    /** Null where the message has none. */
+    String of(Delivery d) {
+        return switch (from) {
+            case ALWAYS -> name;
+            case HEADER -> d.headers().get(name);
+            case ROUTING_KEY -> d.routingKey();
+            case EXCHANGE -> d.exchange();
+            case QUEUE -> d.queue();
+            case ROUTING_WORD -> {
+                String[] words = d.routingKey().split("\\.", -1);
+                yield word <= words.length ? words[word - 1] : null;
+            }
+            case PROPERTY -> switch (name) {
+                case "message-id" -> d.properties().messageId();
+                case "correlation-id" -> d.properties().correlationId();
+                case "type" -> d.properties().type();
+                default -> d.properties().priority() < 0 ? null : String.valueOf(d.properties().priority());
+            };
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/topazladder/delivery/Remembered.java
@@ -0,0 +1,79 @@
+package topazladder.delivery;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What became of messages lately, so that one whose acknowledgement was lost is settled when it comes again, and not
+ * run. A message is known by its id, its try and its body: a copy that waited is another try, and two bodies under one
+ * id are two messages. Without an id nothing is remembered.
+ */
+final class Remembered {
+    /** Seconds; a broker that was gone for longer brings back messages of which nothing is known any more. */
+    static final double KEPT = 300;
+    /** A hundred bytes each; past it the oldest go first, and theirs are judged as unknown. */
+    static final int MOST = 20_000;
+
+    private static final class Entry {
+        double since;
+        boolean done;
+        int returns;
+    }
+
+    private record Key(String queue, String id, int tries, long body) {
+    }
+
+    /** Emptied by age and by the bound. */
+    private final Map<Key, Entry> entries = new LinkedHashMap<>();
+
+    private static Key key(Delivery d, int tries) {
+        return d.properties().messageId() == null ? null
+                : new Key(d.queue(), d.properties().messageId(), tries, Hashing.komihash5_0().hashBytesToLong(d.body()));
+    }
+
+    private Entry entry(Delivery d, int tries, double now) {
+        Key key = key(d, tries);
+        if (key == null) {
+            return new Entry();
+        }
+        Entry e = entries.remove(key);
+        if (e == null) {
+            e = new Entry();
+        }
+        e.since = now;
+        entries.put(key, e);
+        for (Iterator<Entry> i = entries.values().iterator(); i.hasNext();) {
+            if (i.next().since >= now - KEPT && entries.size() <= MOST) {
+                break;
+            }
+            i.remove();
+        }
+        return e;
+    }
+
+    /** Nothing more is to be done for it but to acknowledge it. */
+    void done(Delivery d, int tries, double now) {
+        entry(d, tries, now).done = true;
+    }
+
+    void returned(Delivery d, int tries, double now) {
+        entry(d, tries, now).returns++;
+    }
+
+    boolean isDone(Delivery d, int tries, double now) {
+        Entry e = entries.get(key(d, tries));
+        return e != null && e.done && e.since >= now - KEPT;
+    }
+
+    /** How often it went back to its queue from here. */
+    int returns(Delivery d, int tries) {
+        Entry e = entries.get(key(d, tries));
+        return e == null ? 0 : e.returns;
+    }
+
+    int size() {
+        return entries.size();
+    }
+}
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -156,7 +156,7 @@
         }
         boolean inHand = kept != null && kept.holder != null && byTicket.containsKey(kept.holder.ticket);
         Ticket ticket = new Ticket(offering, customer, a.rank(), a.footprint(),
-                Math.max(0, waited), 0, a.laterTry(), kept != null,
+                Math.max(0, waited), Math.min(a.patience(), offering.outerLimit()), a.laterTry(), kept != null,
                 inHand ? kept.holder.ticket : null);
         counters.add(Count.TICKETS_TAKEN_IN);
         InHand h = new InHand(a, caller, ticket, kept, digest);
@@ -199,6 +199,28 @@
         tell(b -> b.callerGone(now(), h.ticket));
     }
 
+    /**
+     * Takes back a ticket whose run has not begun, so that it may go elsewhere. False where it ran, or waits for what
+     * another try here comes to: elsewhere it could be a second run.
+     */
+    public boolean withdraw(InHand h) {
+        if (byRef.get(h.arrival.ref()) != h || h.answered || h.started || h.kept != null && h.kept.holder != h) {
+            return false;
+        }
+        callerGone(h);
+        return true;
+    }
+
+    /** Whether some try of it is known here that came within its window. */
+    public boolean remembers(String fingerprint, double since) {
+        return fingerprints.find(fingerprint, since) != null;
+    }
+
+    /** The posted level, or 0 while none is. */
+    public double level() {
+        return level == null ? 0 : level;
+    }
+
     /** Answered from store once the module has ruled so; before, a deep check goes to the runtime. */
     public void check(Caller caller, boolean deep) {
         counters.add(Count.CHECKS_TAKEN_IN);
@@ -356,6 +378,7 @@
         switch (r.what()) {
             case START -> {
                 counters.add(Count.RUNS_STARTED);
+                h.started = true;
                 runtime.start(h.arrival.ref(), h.arrival.offering(), h.arrival.body());
             }
             case DEFER -> answer(h, How.DEFERRED, r.number(), r.yes(), NOTHING);
--- a/src/main/java/topazladder/service/InHand.java
+++ b/src/main/java/topazladder/service/InHand.java
@@ -10,6 +10,7 @@
     final Ticket ticket;
     final byte[] digest; // of what all tries of it carry, or null where it has no fingerprint
     Kept kept; // its fingerprint, while that is remembered
+    boolean started;
     boolean answered; // or nobody waits for an answer
     long wantedBy; // the notice that asked for the call it waits for
     byte[] wanted;
