Link to brokers of AMQP 0-9-1, with a stand-in broker on loopback that does harm by script

Deliveries had no link. Two connections a broker on the Java client, its waits on threads of their own behind bounded queues; topology declared or looked for, TLS and EXTERNAL, reconnects with full jitter, moves on reload. The stand-in has a codec of its own. Thirteen loopback tests cause lost acknowledgements, cuts within frames, wrong sizes, silence, cancelled consumers, wrong passwords, a broker that vanishes in a drain; one found that a link moved while it was made was left open, which is closed now.

--- a/src/main/java/topazladder/config/OwnSettings.java
+++ b/src/main/java/topazladder/config/OwnSettings.java
@@ -13,10 +13,11 @@
  *
  * @param coreSpeed beside the installation's yardstick of 1; 0 where nobody knows
  * @param hall where the machine stands, or empty
+ * @param brokers to consume from
  */
-public record OwnSettings(double coreSpeed, String hall, Peering peering) {
+public record OwnSettings(double coreSpeed, String hall, Peering peering, List<BrokerTerms> brokers) {
 
-    public static final OwnSettings NONE = new OwnSettings(0, "", null);
+    public static final OwnSettings NONE = new OwnSettings(0, "", null, List.of());
 
     /** Whoever may be asked. */
     public record Peer(String name, Address address, String hall) {
--- a/src/main/java/topazladder/delivery/Pick.java
+++ b/src/main/java/topazladder/config/Pick.java
@@ -1,6 +1,4 @@
-package topazladder.delivery;
-
-import topazladder.config.BadTerms;
+package topazladder.config;
 
 /**
  * Where a ticket's field is taken from. As text: {@code =word} for always that word, {@code header:NAME},
@@ -42,25 +40,4 @@
                     + " exchange or queue: " + text);
         };
     }
-
-    /** Null where the message has none. */
-    String of(Delivery d) {
-        return switch (from) {
-            case ALWAYS -> name;
-            case HEADER -> d.headers().get(name);
-            case ROUTING_KEY -> d.routingKey();
-            case EXCHANGE -> d.exchange();
-            case QUEUE -> d.queue();
-            case ROUTING_WORD -> {
-                String[] words = d.routingKey().split("\\.", -1);
-                yield word <= words.length ? words[word - 1] : null;
-            }
-            case PROPERTY -> switch (name) {
-                case "message-id" -> d.properties().messageId();
-                case "correlation-id" -> d.properties().correlationId();
-                case "type" -> d.properties().type();
-                default -> d.properties().priority() < 0 ? null : String.valueOf(d.properties().priority());
-            };
-        };
-    }
 }
--- a/src/main/java/topazladder/delivery/QueueTerms.java
+++ b/src/main/java/topazladder/config/QueueTerms.java
@@ -1,4 +1,4 @@
-package topazladder.delivery;
+package topazladder.config;
 
 /**
  * What is set for one queue.
--- a/src/main/java/topazladder/config/SettingsFile.java
+++ b/src/main/java/topazladder/config/SettingsFile.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.TextFormat;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,14 +14,20 @@
 import topazladder.config.OwnSettings.Peer;
 import topazladder.config.OwnSettings.Peering;
 import topazladder.config.OwnSettings.Secret;
+import topazladder.config.QueueTerms.Fields;
 import topazladder.config.ServiceTerms.Address;
+import topazladder.config.proto.Broker;
+import topazladder.config.proto.Queue;
+import topazladder.config.proto.Route;
 import topazladder.config.proto.Settings;
+import topazladder.config.proto.Tls;
+import topazladder.config.proto.Topology;
 import topazladder.ticket.Learned;
 
 /** Reads and checks a file of own settings, protobuf text format by {@code src/main/proto/settings.proto}. */
 public final class SettingsFile {
     private static final int SHORTEST_KEY = 16;
-    private static final int LONGEST_KEY = 4096;
+    private static final int LONGEST_FILE = 1 << 18;
     private static final int MOST_PEERS = 1000;
 
     private SettingsFile() {
@@ -45,7 +52,100 @@
             throw new BadTerms("settings: line " + e.getLine() + ": " + e.getMessage());
         }
         return new OwnSettings(number("machine.core_speed", s.getMachine().getCoreSpeed(), 0, 1000),
-                s.getMachine().getHall(), s.hasPeering() ? peering(s.getPeering(), folder) : null);
+                s.getMachine().getHall(), s.hasPeering() ? peering(s.getPeering(), folder) : null, brokers(s, folder));
+    }
+
+    private static List<BrokerTerms> brokers(Settings s, Path folder) {
+        List<BrokerTerms> all = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (Broker b : s.getBrokersList()) {
+            String at = "brokers[" + all.size() + "].";
+            if (b.getName().isBlank() || !names.add(b.getName())) {
+                throw new BadTerms(at + "name should be a word that no other broker has: '" + b.getName() + "'");
+            }
+            if (b.getExternal() && !(b.hasTls() && !b.getTls().getCertificateFile().isEmpty())) {
+                throw new BadTerms(at + "external needs tls with a certificate");
+            }
+            if (!b.getExternal() && b.getUser().isEmpty()) {
+                throw new BadTerms(at + "user is missing");
+            }
+            if (b.getQueuesCount() == 0) {
+                throw new BadTerms(at + "queues is missing");
+            }
+            List<QueueTerms> queues = new ArrayList<>();
+            Set<String> queueNames = new HashSet<>();
+            for (Queue q : b.getQueuesList()) {
+                String of = at + "queues[" + queues.size() + "].";
+                if (q.getName().isEmpty() || q.getName().length() > 255 || !queueNames.add(q.getName())) {
+                    throw new BadTerms(of + "name should be that of a queue, once: '" + q.getName() + "'");
+                }
+                queues.add(queue(of, q));
+            }
+            all.add(new BrokerTerms(b.getName(), Address.of(at + "address", b.getAddress()),
+                    b.getVirtualHost().isEmpty() ? "/" : b.getVirtualHost(), b.getUser(),
+                    b.getExternal() ? null : secret(at + "password_file", b.getPasswordFile(), folder, 1),
+                    b.hasTls() ? tls(at + "tls.", b, folder) : null,
+                    number(at + "heartbeat", b.hasHeartbeat() ? b.getHeartbeat() : 10, 1, 3600), queues,
+                    b.hasDeclare() ? topology(at + "declare.", b.getDeclare()) : null));
+        }
+        return all;
+    }
+
+    private static QueueTerms queue(String at, Queue q) {
+        if (q.getOffering().isEmpty()) {
+            throw new BadTerms(at + "offering is missing");
+        }
+        return new QueueTerms(q.getName(), new Fields(Pick.of(at + "offering", q.getOffering()),
+                Pick.of(at + "customer", q.getCustomer()), Pick.of(at + "fingerprint", q.getFingerprint()),
+                Pick.of(at + "rank", q.getRank()), Pick.of(at + "footprint", q.getFootprint()), q.getBelieveTimestamp()),
+                (int) number(at + "prefetch", q.hasPrefetch() ? q.getPrefetch() : 32, 1, 10_000),
+                (int) number(at + "tries", q.hasTries() ? q.getTries() : 8, 1, 1000),
+                (int) number(at + "body_bytes", q.hasBodyBytes() ? q.getBodyBytes() : 65_536, 0, 16 << 20),
+                q.hasDelay() ? route(at + "delay", q.getDelay()) : null,
+                q.hasDeadLetter() ? route(at + "dead_letter", q.getDeadLetter()) : null,
+                number(at + "returns_per_second", q.hasReturnsPerSecond() ? q.getReturnsPerSecond() : 10, 0.01, 10_000),
+                !q.getHoldUnknownRedelivered());
+    }
+
+    private static QueueTerms.Route route(String at, Route r) {
+        if (r.getExchange().isEmpty() && r.getRoutingKey().isEmpty()) {
+            throw new BadTerms(at + " should name an exchange, or a queue as its routing key");
+        }
+        return new QueueTerms.Route(r.getExchange(), r.getRoutingKey());
+    }
+
+    private static BrokerTerms.Tls tls(String at, Broker b, Path folder) {
+        Tls t = b.getTls();
+        if (t.getCertificateFile().isEmpty() != t.getKeyFile().isEmpty()) {
+            throw new BadTerms(at + "certificate_file and key_file go together");
+        }
+        boolean own = !t.getCertificateFile().isEmpty();
+        return new BrokerTerms.Tls(text(at + "trust_file", t.getTrustFile(), folder),
+                own ? text(at + "certificate_file", t.getCertificateFile(), folder) : null,
+                own ? new Secret(text(at + "key_file", t.getKeyFile(), folder).getBytes(StandardCharsets.UTF_8)) : null,
+                t.getServerName());
+    }
+
+    private static BrokerTerms.Topology topology(String at, Topology t) {
+        t.getExchangesList().forEach(e -> {
+            if (!List.of("direct", "topic", "fanout", "headers").contains(e.getType())) {
+                throw new BadTerms(at + "exchanges.type should be direct, topic, fanout or headers: " + e.getType());
+            }
+        });
+        return new BrokerTerms.Topology(
+                t.getExchangesList().stream().map(e -> new BrokerTerms.Exchange(e.getName(), e.getType())).toList(),
+                t.getQueuesList().stream().map(q -> new BrokerTerms.Queue(q.getName(), empty(q.getDeadLetterExchange()),
+                        empty(q.getDeadLetterRoutingKey()), q.getTimeToLive(), q.getMostMessages())).toList(),
+                t.getBindingsList().stream().map(b -> new BrokerTerms.Binding(b.getQueue(), b.getExchange(),
+                        b.getRoutingKey())).toList());
+    }
+
+    private static String empty(String text) {
+        return text.isEmpty() ? null : text;
+    }
+
+    private static String text(String key, String path, Path folder) {
+        return new String(secret(key, path, folder, 1).bytes(), StandardCharsets.UTF_8);
     }
 
     private static Peering peering(topazladder.config.proto.Peering p, Path folder) {
@@ -92,14 +192,18 @@
     }
 
     private static Secret secret(String key, String path, Path folder) {
+        return secret(key, path, folder, SHORTEST_KEY);
+    }
+
+    private static Secret secret(String key, String path, Path folder, int shortest) {
         if (path.isEmpty()) {
             throw new BadTerms(key + " is missing");
         }
         Path file = folder == null ? Path.of(path) : folder.resolve(path);
         try {
             long size = Files.size(file);
-            if (size > LONGEST_KEY) {
-                throw new BadTerms(key + " should name a file of at most " + LONGEST_KEY + " bytes: " + path);
+            if (size > LONGEST_FILE) {
+                throw new BadTerms(key + " should name a file of at most " + LONGEST_FILE + " bytes: " + path);
             }
             // Editors end a file with a line break, which no operator means as a part of the key.
             byte[] bytes = Files.readAllBytes(file);
@@ -107,8 +211,8 @@
             while (length > 0 && (bytes[length - 1] == '\n' || bytes[length - 1] == '\r')) {
                 length--;
             }
-            if (length < SHORTEST_KEY) {
-                throw new BadTerms(key + " should name a file of at least " + SHORTEST_KEY + " bytes: " + path);
+            if (length < shortest) {
+                throw new BadTerms(key + " should name a file of at least " + shortest + " bytes: " + path);
             }
             return new Secret(Arrays.copyOf(bytes, length));
         } catch (IOException e) {
--- a/src/main/java/topazladder/delivery/Mapping.java
+++ b/src/main/java/topazladder/delivery/Mapping.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import topazladder.config.Pick;
+import topazladder.config.QueueTerms;
+import topazladder.config.QueueTerms.Fields;
 import topazladder.config.Terms;
-import topazladder.delivery.QueueTerms.Fields;
 import topazladder.service.Arrival;
 import topazladder.ticket.Offering;
 import topazladder.ticket.Offering.Repeats;
@@ -86,8 +88,29 @@
         return Math.max(0, Math.min(0.999, highestPayoff <= 0 ? 0 : o.payoff() / highestPayoff * 0.999));
     }
 
+    /** Null where the message has none. */
+    private static String text(Pick pick, Delivery d) {
+        return switch (pick.from()) {
+            case ALWAYS -> pick.name();
+            case HEADER -> d.headers().get(pick.name());
+            case ROUTING_KEY -> d.routingKey();
+            case EXCHANGE -> d.exchange();
+            case QUEUE -> d.queue();
+            case ROUTING_WORD -> {
+                String[] words = d.routingKey().split("\\.", -1);
+                yield pick.word() <= words.length ? words[pick.word() - 1] : null;
+            }
+            case PROPERTY -> switch (pick.name()) {
+                case "message-id" -> d.properties().messageId();
+                case "correlation-id" -> d.properties().correlationId();
+                case "type" -> d.properties().type();
+                default -> d.properties().priority() < 0 ? null : String.valueOf(d.properties().priority());
+            };
+        };
+    }
+
     private static String word(Pick pick, Delivery d) {
-        String word = pick == null ? null : pick.of(d);
+        String word = pick == null ? null : text(pick, d);
         return word == null || word.isEmpty() || word.length() > LONGEST_WORD || word.chars().anyMatch(c -> c <= ' ')
                 ? null : word;
     }
--- a/src/main/java/topazladder/delivery/Outcomes.java
+++ b/src/main/java/topazladder/delivery/Outcomes.java
@@ -1,5 +1,6 @@
 package topazladder.delivery;
 
+import topazladder.config.QueueTerms;
 import topazladder.service.Answer.How;
 import topazladder.ticket.Offering.Repeats;
 
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -6,6 +6,7 @@
 import java.time.Clock;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.DoubleSupplier;
@@ -16,7 +17,9 @@
 import topazladder.config.BadTerms;
 import topazladder.config.OwnSettings;
 import topazladder.config.ServiceTerms;
+import topazladder.net.amqp.AmqpNode;
 import topazladder.net.peer.PeerNode;
+import topazladder.service.Callers;
 import topazladder.service.Counters;
 import topazladder.service.Counters.Count;
 import topazladder.service.Exchange;
@@ -73,11 +76,14 @@
         Timers timers = (seconds, what) -> vertx.setTimer(Math.max(1, Math.round(seconds * 1000)),
                 id -> what.run());
         exchange = new Exchange(clock, terms.terms(), runtime, index, callers, timers, counters);
-        instance = new Instance(terms.name(), terms.seed(), terms.stopAfter(), clock, exchange, callers, timers,
+        instance = new Instance(terms.name(), terms.seed(), terms.stopAfter(), clock, exchange, withParts(callers), timers,
                 this::exit);
         if (own.peering() != null) {
             parts.add(new PeerNode(vertx, terms, own, exchange, instance, counters));
         }
+        if (!own.brokers().isEmpty()) {
+            parts.add(new AmqpNode(vertx, terms, own, clock, timers, exchange, instance, counters));
+        }
     }
 
     public void start() {
@@ -96,7 +102,27 @@
 
     /** The notice to leave, from any thread. */
     public void leave() {
-        onLoop(instance::leave);
+        onLoop(() -> {
+            parts.forEach(Part::leave);
+            instance.leave();
+        });
+    }
+
+    /** What a part has to settle holds the stop back as an open connection does. */
+    private Callers withParts(Callers server) {
+        return new Callers() {
+            @Override public void closeIdle(double seconds) {
+                server.closeIdle(seconds);
+            }
+
+            @Override public void lastCall() {
+                server.lastCall();
+            }
+
+            @Override public int connections() {
+                return server.connections() + parts.stream().mapToInt(Part::busy).sum();
+            }
+        };
     }
 
     /** Moves to the addresses of the configuration as it is now, from any thread. One that is bad changes nothing. */
@@ -157,9 +183,18 @@
 
     private void exit() {
         tellCounters();
-        parts.forEach(Part::close);
-        runtime.close();
-        vertx.close().onComplete(v -> exit.accept(0));
+        closeParts(parts.iterator(), () -> {
+            runtime.close();
+            vertx.close().onComplete(v -> exit.accept(0));
+        });
+    }
+
+    private static void closeParts(Iterator<Part> left, Runnable then) {
+        if (left.hasNext()) {
+            left.next().close(() -> closeParts(left, then));
+        } else {
+            then.run();
+        }
     }
 
     private static double unixSeconds() {
--- a/src/main/java/topazladder/net/peer/PeerNode.java
+++ b/src/main/java/topazladder/net/peer/PeerNode.java
@@ -126,13 +126,14 @@
         }
     }
 
-    @Override public void close() {
+    @Override public void close(Runnable done) {
         closed = true;
         vertx.cancelTimer(wake);
         asker.close();
         if (server != null) {
             server.close();
         }
+        done.run();
     }
 
     private void carryOut(List<Step> steps) {
--- a/src/main/java/topazladder/service/Part.java
+++ b/src/main/java/topazladder/service/Part.java
@@ -11,6 +11,15 @@
     /** Settings that were read anew. */
     void reload(OwnSettings settings);
 
-    /** The process ends. */
-    void close();
+    /** The notice to leave: nothing new is begun. */
+    default void leave() {
+    }
+
+    /** What it still has to settle; the instance does not stop for nothing before that is none, or the kill is near. */
+    default int busy() {
+        return 0;
+    }
+
+    /** The process ends; told back when it may. */
+    void close(Runnable done);
 }
