--- a/src/main/java/topazladder/experiment/PeerExperiment.java
+++ b/src/main/java/topazladder/experiment/PeerExperiment.java
@@ -51,7 +51,7 @@
                 + " for in the first " + (int) (FIRST_WINDOWS * PeerTrial.WINDOW) + " s that was not earned, and seconds"
                 + " until its windows of 2 s stay within 5% of a warm one's; 95% intervals by Student's t, luck by"
                 + " Wilcoxon's signed ranks.\n\n");
-        String head = " | alone | told | difference | quartiles | luck |\n| --- | --- | --- | --- | --- | --- | --- |\n";
+        String head = " | alone | told | difference | quartiles | luck |\n| --- | --- | --- | --- | --- | --- |\n";
         StringBuilder lost = new StringBuilder("| payoff lost" + head);
         StringBuilder steady = new StringBuilder("| seconds to steady" + head);
         for (Condition condition : Condition.values()) {
@@ -83,7 +83,7 @@
                 + " pairs a row, seeds from " + FIRST_SEED + "; two warm instances, two that return cold at the same moment,"
                 + " one of them told by a warm one. All times a quarter of the operators' brief: payoff lost in the first"
                 + " 3.5 s, windows of 0.5 s. 95% intervals by Student's t, luck by Wilcoxon's signed ranks.\n\n");
-        String head = " | alone | told | difference | quartiles | luck |\n| --- | --- | --- | --- | --- | --- | --- |\n";
+        String head = " | alone | told | difference | quartiles | luck |\n| --- | --- | --- | --- | --- | --- |\n";
         StringBuilder lost = new StringBuilder("| payoff lost" + head);
         StringBuilder steady = new StringBuilder("| seconds to steady" + head);
         for (Condition condition : Condition.values()) {
--- a/src/main/java/topazladder/knowledge/Nature.java
+++ b/src/main/java/topazladder/knowledge/Nature.java
@@ -21,8 +21,8 @@
         AS_IS,
         /** Shorter on faster cores. */
         BY_SPEED,
-        /** More on more cores. */
-        BY_CORES,
+        /** Only where there are as many cores: scaled, it was a bound that a larger peer's calls set too low. */
+        SAME_CORES,
         /** More on more and faster cores. */
         BY_POWER
     }
@@ -33,7 +33,7 @@
     private static final Map<Kind, Nature> ALL = new EnumMap<>(Map.of(
             // Runs differ with the bodies more than with the hour; three own ones say more of this machine.
             Kind.RUN_TIME, new Nature(600, 3, 1, Carry.BY_SPEED, 0.25),
-            Kind.CALLS_IN_HAND, new Nature(300, 10, 5, Carry.BY_CORES, 0),
+            Kind.CALLS_IN_HAND, new Nature(300, 10, 5, Carry.SAME_CORES, 0),
             // Another mix of work is finished at another rate.
             Kind.OUTGOING, new Nature(60, 1000, 10, Carry.BY_POWER, 0)));
 
@@ -57,7 +57,7 @@
         double there = switch (carry) {
             case AS_IS -> value;
             case BY_SPEED -> value / speed;
-            case BY_CORES -> value * cores;
+            case SAME_CORES -> cores == 1 ? value : Double.NaN;
             case BY_POWER -> value * cores * speed;
         };
         return Double.isFinite(there) ? OptionalDouble.of(there) : OptionalDouble.empty();
