--- a/src/main/java/topazladder/broker/AmqpCodec.java
+++ b/src/main/java/topazladder/broker/AmqpCodec.java
@@ -350,7 +350,8 @@
             String type = has(flags, 5) ? shortText(in) : null;
             String user = has(flags, 4) ? shortText(in) : null;
             String app = has(flags, 3) ? shortText(in) : null;
-            return new Content(size, new Props(contentType, mode, priority, correlation, reply, expiration, id, timestamp,
+            return new Content(size, new Props(contentType, mode, priority, correlation, reply, expiration, id,
+                    timestamp,
                     type, user, app), headers);
         } catch (IndexOutOfBoundsException e) {
             throw new Broken(502, "a content header that is cut short");
--- a/src/main/java/topazladder/broker/AmqpSpec.java
+++ b/src/main/java/topazladder/broker/AmqpSpec.java
@@ -24,7 +24,8 @@
     private static final Map<String, Method> BY_NAME = new HashMap<>();
 
     static {
-        method(10, 10, "connection.start", "major:octet minor:octet properties:table mechanisms:longstr locales:longstr");
+        method(10, 10, "connection.start",
+                "major:octet minor:octet properties:table mechanisms:longstr locales:longstr");
         method(10, 11, "connection.start-ok", "properties:table mechanism:shortstr response:longstr locale:shortstr");
         method(10, 30, "connection.tune", "channels:short frame:long heartbeat:short");
         method(10, 31, "connection.tune-ok", "channels:short frame:long heartbeat:short");
@@ -46,20 +47,23 @@
         method(50, 10, "queue.declare", "reserved:short queue:shortstr passive:bit durable:bit exclusive:bit"
                 + " auto-delete:bit no-wait:bit arguments:table");
         method(50, 11, "queue.declare-ok", "queue:shortstr messages:long consumers:long");
-        method(50, 20, "queue.bind", "reserved:short queue:shortstr exchange:shortstr key:shortstr no-wait:bit arguments:table");
+        method(50, 20, "queue.bind",
+                "reserved:short queue:shortstr exchange:shortstr key:shortstr no-wait:bit arguments:table");
         method(50, 21, "queue.bind-ok", "");
         method(50, 40, "queue.delete", "reserved:short queue:shortstr if-unused:bit if-empty:bit no-wait:bit");
         method(50, 41, "queue.delete-ok", "messages:long");
         method(60, 10, "basic.qos", "size:long count:short global:bit");
         method(60, 11, "basic.qos-ok", "");
-        method(60, 20, "basic.consume", "reserved:short queue:shortstr tag:shortstr no-local:bit no-ack:bit exclusive:bit"
+        method(60, 20, "basic.consume",
+                "reserved:short queue:shortstr tag:shortstr no-local:bit no-ack:bit exclusive:bit"
                 + " no-wait:bit arguments:table");
         method(60, 21, "basic.consume-ok", "tag:shortstr");
         method(60, 30, "basic.cancel", "tag:shortstr no-wait:bit");
         method(60, 31, "basic.cancel-ok", "tag:shortstr");
         method(60, 40, "basic.publish", "reserved:short exchange:shortstr key:shortstr mandatory:bit immediate:bit");
         method(60, 50, "basic.return", "code:short text:shortstr exchange:shortstr key:shortstr");
-        method(60, 60, "basic.deliver", "tag:shortstr delivery:longlong redelivered:bit exchange:shortstr key:shortstr");
+        method(60, 60, "basic.deliver",
+                "tag:shortstr delivery:longlong redelivered:bit exchange:shortstr key:shortstr");
         method(60, 80, "basic.ack", "delivery:longlong multiple:bit");
         method(60, 90, "basic.reject", "delivery:longlong requeue:bit");
         method(60, 120, "basic.nack", "delivery:longlong multiple:bit requeue:bit");
--- a/src/main/java/topazladder/broker/Broker.java
+++ b/src/main/java/topazladder/broker/Broker.java
@@ -386,7 +386,8 @@
     }
 
     private void deadLetter(Queue q, Message m, String reason) {
-        if (!(q.arguments.get("x-dead-letter-exchange") instanceof String exchange) || !exchanges.containsKey(exchange)) {
+        if (!(q.arguments.get("x-dead-letter-exchange") instanceof String exchange)
+                || !exchanges.containsKey(exchange)) {
             ledger.write(now(), m.id(), 0, What.DROPPED, q.name + " " + reason);
             return;
         }
@@ -433,7 +434,8 @@
         Queue q = queues.get(name);
         while (q != null && !q.ready.isEmpty()) {
             Consumer c = q.consumers.stream().filter(k -> k.channel().flowing && !k.channel().closed && (k.noAck()
-                    || k.channel().prefetch == 0 || k.channel().out.size() < k.channel().prefetch)).findFirst().orElse(null);
+                    || k.channel().prefetch == 0 || k.channel().out.size() < k.channel().prefetch)).findFirst()
+                            .orElse(null);
             if (c == null) {
                 return;
             }
@@ -447,7 +449,8 @@
             }
             long tag = ++c.channel().lastTag;
             long delivery = ++lastDelivery;
-            ledger.write(now(), w.message.id(), delivery, What.DELIVERED, c.channel().who + (w.redelivered ? " again" : ""));
+            ledger.write(now(), w.message.id(), delivery, What.DELIVERED, c.channel().who + (w.redelivered
+                    ? " again" : ""));
             if (c.noAck()) {
                 ledger.write(now(), w.message.id(), delivery, What.ACKNOWLEDGED, "at once");
             } else {
--- a/src/main/java/topazladder/broker/BrokerServer.java
+++ b/src/main/java/topazladder/broker/BrokerServer.java
@@ -22,7 +22,8 @@
 import topazladder.broker.Broker.Refused;
 
 /**
- * The stand-in broker on a loopback socket: connections and channels of the protocol before {@link Broker}. A script may
+ * The stand-in broker on a loopback socket: connections and channels of the protocol before {@link Broker}. A script
+ * may
  * do harm at any method, either way; nothing happens by chance.
  */
 public final class BrokerServer {
@@ -386,7 +387,8 @@
                 }
                 case "queue.declare" -> {
                     broker.declareQueue(c.text("queue"), c.table("arguments"), c.bit("durable"), c.bit("passive"));
-                    send(n, "queue.declare-ok", c.text("queue"), broker.ready(c.text("queue")), broker.consumers(c.text("queue")));
+                    send(n, "queue.declare-ok", c.text("queue"), broker.ready(c.text("queue")),
+                            broker.consumers(c.text("queue")));
                 }
                 case "queue.bind" -> {
                     broker.bind(c.text("queue"), c.text("exchange"), c.text("key"), c.table("arguments"));
--- a/src/main/java/topazladder/broker/Ledger.java
+++ b/src/main/java/topazladder/broker/Ledger.java
@@ -10,7 +10,8 @@
 public final class Ledger {
 
     /** What befell a message, or one delivery of it. */
-    public enum What { PUBLISHED, DELIVERED, ACKNOWLEDGED, RETURNED, REJECTED, LINK_LOST, EXPIRED, DROPPED, DEAD_LETTERED }
+    public enum What { PUBLISHED, DELIVERED, ACKNOWLEDGED, RETURNED, REJECTED, LINK_LOST, EXPIRED, DROPPED,
+            DEAD_LETTERED }
 
     /** @param delivery number of the delivery over all, or 0 where none is meant */
     public record Entry(double at, long message, long delivery, What what, String where) {
--- a/src/main/java/topazladder/cli/Commands.java
+++ b/src/main/java/topazladder/cli/Commands.java
@@ -19,7 +19,8 @@
 /** The command line: what each subcommand takes, and the status that it ends with (2 for what was asked wrongly). */
 @Command(name = "topazladder", mixinStandardHelpOptions = true, version = "topazladder 0.1.0",
         description = "Decides what a server takes, runs and turns away.",
-        subcommands = {Commands.Serve.class, Commands.WireHost.class, Commands.Settings.class, Commands.Experiment.class})
+        subcommands = {Commands.Serve.class, Commands.WireHost.class, Commands.Settings.class,
+                Commands.Experiment.class})
 public final class Commands {
 
     public static void main(String[] args) {
@@ -118,21 +119,24 @@
                 return 0;
             }
         }
-    
+
         @Command(name = "amqp", mixinStandardHelpOptions = true,
                 description = "Deliveries: audited fault schedules, cost beside callers, recovery, mixed load.")
         static final class Amqp implements Callable<Integer> {
-            @Option(names = "--schedules", defaultValue = "600", description = "Schedules of faults (${DEFAULT-VALUE}).")
+            @Option(names = "--schedules", defaultValue = "600",
+                    description = "Schedules of faults (${DEFAULT-VALUE}).")
             private int schedules;
             @Option(names = "--seeds", defaultValue = "60", description = "Pairs of the mixed load (${DEFAULT-VALUE}).")
             private int seeds;
-            @Option(names = "--tickets", defaultValue = "200000", description = "Tickets of the cost (${DEFAULT-VALUE}).")
+            @Option(names = "--tickets", defaultValue = "200000",
+                    description = "Tickets of the cost (${DEFAULT-VALUE}).")
             private int tickets;
             @Option(names = "--out", required = true, paramLabel = "FILE", description = "Where the tables go.")
             private Path out;
 
             @Override public Integer call() throws Exception {
-                String tables = "# Deliveries, measured\n\n" + AmqpExperiment.schedules(schedules) + AmqpExperiment.recovery()
+                String tables = "# Deliveries, measured\n\n" + AmqpExperiment.schedules(schedules)
+                        + AmqpExperiment.recovery()
                         + AmqpExperiment.mixed(seeds) + (tickets > 0 ? AmqpExperiment.cost(tickets) : "");
                 Files.writeString(out, tables);
                 System.out.print(tables);
--- a/src/main/java/topazladder/config/BrokerTerms.java
+++ b/src/main/java/topazladder/config/BrokerTerms.java
@@ -37,7 +37,8 @@
      * @param timeToLive seconds, or 0
      * @param mostMessages or 0
      */
-    public record Queue(String name, String deadLetterExchange, String deadLetterKey, double timeToLive, int mostMessages) {
+    public record Queue(String name, String deadLetterExchange, String deadLetterKey, double timeToLive,
+            int mostMessages) {
     }
 
     public record Binding(String queue, String exchange, String routingKey) {
--- a/src/main/java/topazladder/config/Pick.java
+++ b/src/main/java/topazladder/config/Pick.java
@@ -26,7 +26,8 @@
                 case "message-id", "correlation-id", "type", "priority" -> {
                     return new Pick(From.PROPERTY, name, 0);
                 }
-                default -> throw new BadTerms(key + " should name message-id, correlation-id, type or priority: " + text);
+                default -> throw new BadTerms(key + " should name message-id, correlation-id, type or priority: "
+                        + text);
             }
         }
         if (text.matches("routing-key:[1-9][0-9]{0,2}")) {
@@ -36,7 +37,8 @@
             case "routing-key" -> new Pick(From.ROUTING_KEY, "", 0);
             case "exchange" -> new Pick(From.EXCHANGE, "", 0);
             case "queue" -> new Pick(From.QUEUE, "", 0);
-            default -> throw new BadTerms(key + " should be =WORD, header:NAME, property:NAME, routing-key, routing-key:N,"
+            default -> throw new BadTerms(key
+                    + " should be =WORD, header:NAME, property:NAME, routing-key, routing-key:N,"
                     + " exchange or queue: " + text);
         };
     }
--- a/src/main/java/topazladder/config/QueueTerms.java
+++ b/src/main/java/topazladder/config/QueueTerms.java
@@ -10,7 +10,8 @@
  * @param delay where a deferred message waits, or null for back to the queue itself
  * @param deadLetter where what is given up goes, or null for the queue's own dead-lettering
  * @param requeuesPerSecond pace of messages that go back to the queue itself
- * @param runUnknownRedelivered whether a fingerprinted message that came before, and of which nothing is known here, may run
+ * @param runUnknownRedelivered whether a fingerprinted message that came before, and of which nothing is known here,
+ *     may run
  */
 public record QueueTerms(String queue, Fields fields, int mostPrefetch, int mostTries, int mostBytes, Route delay,
                          Route deadLetter, double requeuesPerSecond, boolean runUnknownRedelivered) {
--- a/src/main/java/topazladder/config/SettingsFile.java
+++ b/src/main/java/topazladder/config/SettingsFile.java
@@ -97,7 +97,8 @@
         }
         return new QueueTerms(q.getName(), new Fields(Pick.of(at + "offering", q.getOffering()),
                 Pick.of(at + "customer", q.getCustomer()), Pick.of(at + "fingerprint", q.getFingerprint()),
-                Pick.of(at + "rank", q.getRank()), Pick.of(at + "footprint", q.getFootprint()), q.getBelieveTimestamp()),
+                Pick.of(at + "rank", q.getRank()), Pick.of(at + "footprint", q.getFootprint()),
+                        q.getBelieveTimestamp()),
                 (int) number(at + "prefetch", q.hasPrefetch() ? q.getPrefetch() : 32, 1, 10_000),
                 (int) number(at + "tries", q.hasTries() ? q.getTries() : 8, 1, 1000),
                 (int) number(at + "body_bytes", q.hasBodyBytes() ? q.getBodyBytes() : 65_536, 0, 16 << 20),
@@ -136,7 +137,8 @@
                 t.getExchangesList().stream().map(e -> new BrokerTerms.Exchange(e.getName(), e.getType())).toList(),
                 t.getQueuesList().stream().map(q -> new BrokerTerms.Queue(q.getName(),
                         // A key alone means the default exchange, which takes a message to the queue of that name.
-                        q.getDeadLetterRoutingKey().isEmpty() ? empty(q.getDeadLetterExchange()) : q.getDeadLetterExchange(),
+                        q.getDeadLetterRoutingKey().isEmpty() ? empty(q.getDeadLetterExchange())
+                                : q.getDeadLetterExchange(),
                         empty(q.getDeadLetterRoutingKey()), q.getTimeToLive(), q.getMostMessages())).toList(),
                 t.getBindingsList().stream().map(b -> new BrokerTerms.Binding(b.getQueue(), b.getExchange(),
                         b.getRoutingKey())).toList());
--- a/src/main/java/topazladder/delivery/BrokerPort.java
+++ b/src/main/java/topazladder/delivery/BrokerPort.java
@@ -3,7 +3,9 @@
 import java.util.Map;
 import topazladder.delivery.Delivery.Properties;
 
-/** One link to one broker, as far as the front uses it; nothing here waits. What is said while there is no link is lost. */
+/**
+ * One link to one broker, as far as the front uses it; nothing here waits. What is said while there is no link is lost.
+ */
 public interface BrokerPort {
 
     /**
--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -28,7 +28,8 @@
 import topazladder.ticket.Offering.Repeats;
 
 /**
- * Deliveries of one broker as tickets of the exchange: each that came gets exactly one outcome while its link lives, and
+ * Deliveries of one broker as tickets of the exchange: each that came gets exactly one outcome while its link lives,
+ * and
  * none afterwards, as the broker then brings it again. It does no I/O.
  */
 public final class Consumer {
@@ -195,7 +196,8 @@
             Phase was = o.phase;
             o.phase = Phase.LOST;
             letGo(o);
-            // One without an effect is run again when it comes again; one with an effect goes on, and its result is kept.
+            // One without an effect is run again when it comes again; one with an effect goes on, and its result is
+            // kept.
             if (was == Phase.IN_MODULE && o.inHand != null && o.mapped.offering().repeats() == Repeats.RETRIABLE) {
                 exchange.callerGone(o.inHand);
             }
@@ -266,7 +268,8 @@
         o.reply = true;
         counters.add(Count.REPLIES_SENT);
         // The default exchange takes it to the queue of that name.
-        publish(o, new Publication("", replyTo, Map.of(), new Properties(null, o.delivery.properties().correlationId(), null,
+        publish(o, new Publication("", replyTo, Map.of(), new Properties(null, o.delivery.properties()
+                .correlationId(), null,
                 null, 0, 0, -1), 0, result));
     }
 
@@ -321,7 +324,8 @@
                     port.reject(queue, o.delivery.tag(), false);
                 } else {
                     Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
-                    headers.put(REASON, outcome.why().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": " + reason);
+                    headers.put(REASON, outcome.why().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": "
+                            + reason);
                     copy(o, route, headers, 0);
                 }
             }
@@ -375,7 +379,8 @@
                 boolean unbegun = o.phase == Phase.AWAITING_TURN
                         || o.phase == Phase.IN_MODULE && o.inHand != null && exchange.withdraw(o.inHand);
                 if (unbegun) {
-                    settle(o, Outcomes.of(How.DEFERRED, o.mapped.offering().repeats(), tries(o), q.terms, true), "leaving");
+                    settle(o, Outcomes.of(How.DEFERRED, o.mapped.offering().repeats(), tries(o), q.terms, true),
+                            "leaving");
                 }
             }
         }
--- a/src/main/java/topazladder/delivery/Mapping.java
+++ b/src/main/java/topazladder/delivery/Mapping.java
@@ -76,12 +76,15 @@
             return Mapped.none("a number of tries that is none");
         }
         int tried = (int) tries + d.deaths();
-        // What waited in the queue is no wait of this machine: its time counts from when it came, unless the publisher's
+        // What waited in the queue is no wait of this machine: its time counts from when it came, unless the
+        // publisher's
         // clock is to be believed and could be right. A clock that is wrong by a day must not make all hopeless.
         double stamped = now - d.properties().timestamp();
-        boolean believed = f.believeTimestamp() && d.properties().timestamp() > 0 && stamped >= 0 && stamped < longestLimit;
+        boolean believed = f.believeTimestamp() && d.properties().timestamp() > 0 && stamped >= 0
+                && stamped < longestLimit;
         double since = believed ? d.properties().timestamp() : now;
-        Arrival arrival = new Arrival(ref, offering.name(), customer, since, tried > 0 || d.redelivered(), footprint, rank,
+        Arrival arrival = new Arrival(ref, offering.name(), customer, since, tried > 0 || d.redelivered(), footprint,
+                rank,
                 fingerprint, d.body(), Math.max(0, d.properties().expiration()));
         return new Mapped(arrival, offering, tried, null);
     }
--- a/src/main/java/topazladder/delivery/Outcomes.java
+++ b/src/main/java/topazladder/delivery/Outcomes.java
@@ -5,7 +5,8 @@
 import topazladder.ticket.Offering.Repeats;
 
 /**
- * What becomes of a delivery, from what became of its ticket. docs/amqp.md has it as a table; each delivery gets exactly
+ * What becomes of a delivery, from what became of its ticket. docs/amqp.md has it as a table; each delivery gets
+ * exactly
  * one of these where its link lives.
  */
 final class Outcomes {
--- a/src/main/java/topazladder/delivery/Prefetch.java
+++ b/src/main/java/topazladder/delivery/Prefetch.java
@@ -1,7 +1,8 @@
 package topazladder.delivery;
 
 /**
- * How many deliveries of one queue are in hand at most. It follows what the module did with the last ones: deferred, the
+ * How many deliveries of one queue are in hand at most. It follows what the module did with the last ones: deferred,
+ * the
  * queue is asked for half as many; all honoured with the window full, for one more. A level above the queue's rank
  * stops it, as a caller that heeds would send nothing; one message a while finds out that it is over.
  */
--- a/src/main/java/topazladder/delivery/Remembered.java
+++ b/src/main/java/topazladder/delivery/Remembered.java
@@ -30,7 +30,8 @@
 
     private static Key key(Delivery d, int tries) {
         return d.properties().messageId() == null ? null
-                : new Key(d.queue(), d.properties().messageId(), tries, Hashing.komihash5_0().hashBytesToLong(d.body()));
+                : new Key(d.queue(), d.properties().messageId(), tries, Hashing.komihash5_0()
+                        .hashBytesToLong(d.body()));
     }
 
     private Entry entry(Delivery d, int tries, double now) {
--- a/src/main/java/topazladder/emulator/Branch.java
+++ b/src/main/java/topazladder/emulator/Branch.java
@@ -142,7 +142,8 @@
         String ref = name + refs++;
         double sent = time.getAsDouble();
         time.in(LINK, () -> {
-            to.runtime.read(reading, () -> to.exchange.arrive(new Arrival(ref, w.kind().offering().name(), null, sent, laterTry, 10,
+            to.runtime.read(reading, () -> to.exchange.arrive(new Arrival(ref, w.kind().offering().name(), null,
+                    sent, laterTry, 10,
                     w.rank(), fingerprint, w.work().body()), new Caller() {
                         @Override public void answer(Answer a) {
                             time.in(LINK, () -> answered(to, a, w, fingerprint, first, at, laterTry));
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -33,7 +33,8 @@
 import topazladder.ticket.Ending;
 
 /**
- * Two instances that consume from one broker in virtual time while links break, brokers vanish and instances leave, by a
+ * Two instances that consume from one broker in virtual time while links break, brokers vanish and instances leave,
+ * by a
  * schedule that a seed draws. What ran where is written down by the machines, what became of each delivery by the
  * broker; the audit reads both and nothing of the program's own.
  */
@@ -144,7 +145,8 @@
 
         @Override public void start(String ref, String offering, byte[] body) {
             long number = number(body);
-            runs.add(new Run(name, number, offering, time.getAsDouble(), arrived.getOrDefault(ref, time.getAsDouble())));
+            runs.add(new Run(name, number, offering, time.getAsDouble(), arrived.getOrDefault(ref,
+                    time.getAsDouble())));
             bodies.put(ref, body);
             time.in(0.0005, () -> runtime.start(ref, body));
         }
@@ -179,7 +181,8 @@
         @Override public void call(String ref, double seconds, boolean repeatable, byte[] body) {
             double mine = time.getAsDouble();
             calls.put(ref, mine);
-            below.call(ref, Double.parseDouble(new String(body, StandardCharsets.US_ASCII)), () -> called(ref, mine, Ending.OK));
+            below.call(ref, Double.parseDouble(new String(body, StandardCharsets.US_ASCII)), () -> called(ref, mine,
+                    Ending.OK));
             time.in(seconds, () -> called(ref, mine, Ending.ABANDONED));
         }
 
@@ -207,7 +210,8 @@
     }
 
     private static QueueTerms terms(String queue) {
-        return new QueueTerms(queue, new Fields(Pick.of("", "header:offering"), null, Pick.of("", "header:mark"), null, null,
+        return new QueueTerms(queue, new Fields(Pick.of("", "header:offering"), null, Pick.of("", "header:mark"),
+                null, null,
                 false), 16, 6, 4000, new Route("later", queue), new Route("dead", queue), 20, true);
     }
 
@@ -268,7 +272,8 @@
         counts.put("dead", broker.ready("dead"));
         counts.put("waiting", left());
         counts.put("answers", broker.ready("answers"));
-        counts.put("lost deliveries", (int) ledger.entries().stream().filter(e -> e.what() == Ledger.What.LINK_LOST).count());
+        counts.put("lost deliveries", (int) ledger.entries().stream().filter(e -> e.what() == Ledger.What.LINK_LOST)
+                .count());
         return new Result(breaks, counts, schedule);
     }
 
@@ -293,7 +298,8 @@
         byte[] body = String.format(Locale.ROOT, "%.4f %.4f %d", 0.05 + 0.3 * chance.nextDouble(),
                 chance.nextInt(3) == 0 ? 0.05 : 0, number).getBytes(StandardCharsets.US_ASCII);
         Map<String, Object> headers = new LinkedHashMap<>(Map.of("offering", offering, "mark", "m" + number));
-        Props props = new Props(null, 2, null, "c" + number, chance.nextInt(3) == 0 ? "answers" : null, null, "id" + number,
+        Props props = new Props(null, 2, null, "c" + number, chance.nextInt(3) == 0 ? "answers" : null, null, "id"
+                + number,
                 // Some publishers' clocks are wrong by a day.
                 (long) time.getAsDouble() + (chance.nextInt(5) == 0 ? 86_400 : 0), null, null, null);
         published.put(number, offering);
@@ -319,7 +325,8 @@
         }
         String ref = "caller" + number;
         to.arrived.put(ref, time.getAsDouble());
-        to.exchange.arrive(new Arrival(ref, "order-place", null, time.getAsDouble(), false, 10, 0.5, "m" + number, body),
+        to.exchange.arrive(new Arrival(ref, "order-place", null, time.getAsDouble(), false, 10, 0.5, "m" + number,
+                body),
                 new Caller() {
                     @Override public void answer(Answer a) {
                         if (a.how() == How.HONOURED) {
@@ -344,12 +351,14 @@
             }
             case 1 -> {
                 double b = chance.nextDouble() * 4;
-                note(at, String.format(Locale.ROOT, "link of %s is half open, the broker notices %.1f s later", w.name, b));
+                note(at, String.format(Locale.ROOT, "link of %s is half open, the broker notices %.1f s later",
+                        w.name, b));
                 time.in(at, () -> w.link.cut(b, 0));
             }
             case 2 -> {
                 double c = chance.nextDouble() * 4;
-                note(at, String.format(Locale.ROOT, "link of %s is half open, the instance notices %.1f s later", w.name, c));
+                note(at, String.format(Locale.ROOT, "link of %s is half open, the instance notices %.1f s later",
+                        w.name, c));
                 time.in(at, () -> w.link.cut(0, c));
             }
             case 3 -> vanish(at, 0.2 + 6 * chance.nextDouble());
@@ -377,7 +386,8 @@
     }
 
     private int left() {
-        return broker.ready("orders") + broker.ready("stock") + broker.ready("orders.later") + broker.ready("stock.later");
+        return broker.ready("orders") + broker.ready("stock") + broker.ready("orders.later")
+                + broker.ready("stock.later");
     }
 
     private List<String> audit() {
@@ -385,7 +395,8 @@
         ledger.deliveriesWithoutExactlyOneEnd().forEach(d -> breaks.add("a delivery without exactly one end: " + d));
         Map<String, List<Run>> byWhat = new LinkedHashMap<>();
         for (Run r : runs) {
-            String one = r.offering().equals("invoice") ? "message " + r.message() : r.instance() + " message " + r.message();
+            String one = r.offering().equals("invoice") ? "message " + r.message() : r.instance() + " message "
+                    + r.message();
             byWhat.computeIfAbsent(one, k -> new ArrayList<>()).add(r);
         }
         byWhat.forEach((what, all) -> {
--- a/src/main/java/topazladder/emulator/MixedTrial.java
+++ b/src/main/java/topazladder/emulator/MixedTrial.java
@@ -28,7 +28,8 @@
 
 /**
  * One instance at half as much again as its cores can do, with the same tickets twice: once all by callers, and once
- * half of them by a broker. Of callers' tickets what is honoured in its soft limit counts; of deliveries, for which nobody
+ * half of them by a broker. Of callers' tickets what is honoured in its soft limit counts; of deliveries, for which
+ * nobody
  * waits at a connection, what is honoured while the load lasts.
  */
 public final class MixedTrial {
@@ -48,13 +49,17 @@
         this.byBroker = byBroker;
     }
 
-    /** Payoff honoured of what was asked for: all mixed, all alone, callers' half mixed and alone, the rest mixed and alone. */
+    /**
+     * Payoff honoured of what was asked for: all mixed, all alone, callers' half mixed and alone, the rest mixed and
+     * alone.
+     */
     public static double[] play(long seed) {
         MixedTrial mixed = new MixedTrial(true);
         MixedTrial alone = new MixedTrial(false);
         mixed.run(seed);
         alone.run(seed);
-        return new double[] {mixed.share(0, 1), alone.share(0, 1), mixed.share(0), alone.share(0), mixed.share(1), alone.share(1)};
+        return new double[] {mixed.share(0, 1), alone.share(0, 1), mixed.share(0), alone.share(0), mixed.share(1),
+                alone.share(1)};
     }
 
     private double share(int... halves) {
@@ -173,7 +178,8 @@
                     Pick.of("", "header:rank"), Pick.of("", "=10"), false), 64, 8, 10_000, null, null, 20, true));
         }
         if (byBroker) {
-            VirtualLink link = new VirtualLink("n", time, broker, chance.split(), queues.stream().map(QueueTerms::queue).toList());
+            VirtualLink link = new VirtualLink("n", time, broker, chance.split(), queues.stream()
+                    .map(QueueTerms::queue).toList());
             Consumer consumer = new Consumer(time, time, machine.exchange, machine.counters, chance.split(), link,
                     machine.terms, queues);
             link.open(consumer);
@@ -189,7 +195,8 @@
         time.in(0.25, () -> look(consumer));
     }
 
-    private void next(Traffic traffic, SplittableRandom habits, double rate, Machine machine, Broker broker, int number) {
+    private void next(Traffic traffic, SplittableRandom habits, double rate, Machine machine, Broker broker,
+            int number) {
         if (time.getAsDouble() > 1_000_000 + LASTS) {
             return;
         }
@@ -202,12 +209,14 @@
         sentAt.put(name, time.getAsDouble());
         asked[half(name)] += w.kind().offering().payoff();
         if (byBroker && half(name) == 1) {
-            broker.publish("", w.kind().offering().name(), Map.of("rank", w.rank()), new Props(null, 2, null, null, null,
+            broker.publish("", w.kind().offering().name(), Map.of("rank", w.rank()), new Props(null, 2, null, null,
+                    null,
                     null, name, (long) time.getAsDouble(), null, null, null), body);
         } else if (!heeds || w.rank() >= machine.exchange.level()) {
             String fingerprint = w.kind().offering().window() > 0 ? name : null;
             double sent = time.getAsDouble();
-            machine.runtime.read(0.015, () -> machine.exchange.arrive(new Arrival("c" + name, w.kind().offering().name(), null,
+            machine.runtime.read(0.015, () -> machine.exchange.arrive(new Arrival("c" + name, w.kind().offering()
+                    .name(), null,
                     sent, false, 10, w.rank(), fingerprint, body), new Caller() {
                         @Override public void answer(Answer a) {
                             if (a.how() != How.HONOURED) {
--- a/src/main/java/topazladder/emulator/PeerTrial.java
+++ b/src/main/java/topazladder/emulator/PeerTrial.java
@@ -195,9 +195,11 @@
         return new Outcome(WINDOW, c.asked(), c.earned(), warm.asked(), warm.earned());
     }
 
-    private static List<Learned> share(Told told, List<Learned> now, List<Learned> before, double at, Set<Kind> leftOut) {
+    private static List<Learned> share(Told told, List<Learned> now, List<Learned> before, double at,
+            Set<Kind> leftOut) {
         Origin here = new Origin("cold", 2, CORES, 1, 1);
-        Origin there = told == Told.FOREIGN ? new Origin("warm", 1, 3 * CORES, 0, 1) : new Origin("warm", 1, CORES, 1, 1);
+        Origin there = told == Told.FOREIGN ? new Origin("warm", 1, 3 * CORES, 0, 1) : new Origin("warm", 1, CORES,
+                1, 1);
         List<Learned> from = switch (told) {
             case NOTHING -> List.of();
             case STALE -> before;
--- a/src/main/java/topazladder/emulator/VirtualLink.java
+++ b/src/main/java/topazladder/emulator/VirtualLink.java
@@ -182,7 +182,8 @@
         }
         Props p = m.props();
         return new Delivery(queue, tag, again, m.exchange(), m.routingKey(), headers, new Properties(p.messageId(),
-                p.correlationId(), p.replyTo(), p.type(), p.expiration() == null ? 0 : Double.parseDouble(p.expiration()) / 1000,
+                p.correlationId(), p.replyTo(), p.type(), p.expiration() == null ? 0
+                        : Double.parseDouble(p.expiration()) / 1000,
                 p.timestamp() == null ? 0 : p.timestamp(), p.priority() == null ? -1 : p.priority()), deaths, m.body());
     }
 
@@ -213,7 +214,8 @@
                 Props props = new Props(null, 2, p.properties().priority() < 0 ? null : p.properties().priority(),
                         p.properties().correlationId(), p.properties().replyTo(),
                         p.delay() > 0 ? String.valueOf(Math.round(p.delay() * 1000)) : null, p.properties().messageId(),
-                        p.properties().timestamp() > 0 ? (long) p.properties().timestamp() : null, p.properties().type(), null, null);
+                        p.properties().timestamp() > 0 ? (long) p.properties().timestamp() : null, p.properties()
+                                .type(), null, null);
                 ok = broker.publish(p.exchange(), p.routingKey(), new LinkedHashMap<>(p.headers()), props, p.body());
             } catch (Refused e) {
                 ok = false;
--- a/src/main/java/topazladder/experiment/PeerExperiment.java
+++ b/src/main/java/topazladder/experiment/PeerExperiment.java
@@ -46,9 +46,11 @@
 
     /** The table for readers, in Markdown. */
     public static String table(int seeds) {
-        StringBuilder out = new StringBuilder("# Learning from a peer, emulated\n\n" + seeds + " pairs a row, seeds from "
+        StringBuilder out = new StringBuilder("# Learning from a peer, emulated\n\n" + seeds
+                + " pairs a row, seeds from "
                 + FIRST_SEED + "; four instances in virtual time, one of which returns cold. Share of the payoff asked"
-                + " for in the first " + (int) (FIRST_WINDOWS * PeerTrial.WINDOW) + " s that was not earned, and seconds"
+                + " for in the first " + (int) (FIRST_WINDOWS * PeerTrial.WINDOW)
+                        + " s that was not earned, and seconds"
                 + " until its windows of 2 s stay within 5% of a warm one's; 95% intervals by Student's t, luck by"
                 + " Wilcoxon's signed ranks.\n\n");
         String head = " | alone | told | difference | quartiles | luck |\n| --- | --- | --- | --- | --- | --- |\n";
@@ -57,8 +59,10 @@
         for (Condition condition : Condition.values()) {
             for (Told told : EnumSet.complementOf(EnumSet.of(Told.NOTHING))) {
                 Result r = pairs(condition, told, Set.of(), seeds);
-                lost.append("| ").append(condition).append(", ").append(told).append(" | ").append(r.lost().row()).append(" |\n");
-                steady.append("| ").append(condition).append(", ").append(told).append(" | ").append(r.steady().row()).append(" |\n");
+                lost.append("| ").append(condition).append(", ").append(told).append(" | ").append(r.lost().row())
+                        .append(" |\n");
+                steady.append("| ").append(condition).append(", ").append(told).append(" | ").append(r.steady()
+                        .row()).append(" |\n");
             }
             for (Map.Entry<Kind, Result> e : alone(condition, seeds).entrySet()) {
                 lost.append("| ").append(condition).append(", only ").append(e.getKey()).append(" | ")
@@ -80,8 +84,10 @@
     /** The same with real processes on loopback: pairs in one run each, so many runs beside each other. */
     public static String loopback(int seeds, int beside) throws InterruptedException {
         StringBuilder out = new StringBuilder("# Learning from a peer, real processes on loopback\n\n" + seeds
-                + " pairs a row, seeds from " + FIRST_SEED + "; two warm instances, two that return cold at the same moment,"
-                + " one of them told by a warm one. All times a quarter of the operators' brief: payoff lost in the first"
+                + " pairs a row, seeds from " + FIRST_SEED
+                        + "; two warm instances, two that return cold at the same moment,"
+                + " one of them told by a warm one. All times a quarter of the operators' brief: payoff lost in the"
+                + " first"
                 + " 3.5 s, windows of 0.5 s. 95% intervals by Student's t, luck by Wilcoxon's signed ranks.\n\n");
         String head = " | alone | told | difference | quartiles | luck |\n| --- | --- | --- | --- | --- | --- |\n";
         StringBuilder lost = new StringBuilder("| payoff lost" + head);
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -76,7 +76,8 @@
         Timers timers = (seconds, what) -> vertx.setTimer(Math.max(1, Math.round(seconds * 1000)),
                 id -> what.run());
         exchange = new Exchange(clock, terms.terms(), runtime, index, callers, timers, counters);
-        instance = new Instance(terms.name(), terms.seed(), terms.stopAfter(), clock, exchange, withParts(callers), timers,
+        instance = new Instance(terms.name(), terms.seed(), terms.stopAfter(), clock, exchange, withParts(callers),
+                timers,
                 this::exit);
         if (own.peering() != null) {
             parts.add(new PeerNode(vertx, terms, own, exchange, instance, counters));
--- a/src/main/java/topazladder/net/amqp/AmqpLink.java
+++ b/src/main/java/topazladder/net/amqp/AmqpLink.java
@@ -46,8 +46,10 @@
 import topazladder.service.Counters.Count;
 
 /**
- * The link to one broker, on the client library. Two connections, as a broker that runs short stops reading from whoever
- * publishes, and acknowledgements must still get through; the end of either is the end of the link. The library waits on
+ * The link to one broker, on the client library. Two connections, as a broker that runs short stops reading from
+ * whoever
+ * publishes, and acknowledgements must still get through; the end of either is the end of the link. The library waits
+ * on
  * threads of its own; all that is decided is decided on the event loop.
  */
 final class AmqpLink implements BrokerPort {
--- a/src/main/java/topazladder/net/amqp/AmqpNode.java
+++ b/src/main/java/topazladder/net/amqp/AmqpNode.java
@@ -38,11 +38,13 @@
         this.vertx = vertx;
         this.instance = instance;
         // Names of tries must not come again after a restart, whatever the seed: the runtime keeps what it ran.
-        SplittableRandom chance = new SplittableRandom(terms.seed() ^ System.nanoTime() ^ ProcessHandle.current().pid() << 32);
+        SplittableRandom chance = new SplittableRandom(terms.seed() ^ System.nanoTime() ^ ProcessHandle.current()
+                .pid() << 32);
         var loop = vertx.getOrCreateContext();
         for (BrokerTerms b : own.brokers()) {
             AmqpLink link = new AmqpLink(vertx, loop, b, counters, chance.split());
-            sources.put(b.name(), new Source(b, link, new Consumer(clock, timers, exchange, counters, chance.split(), link,
+            sources.put(b.name(), new Source(b, link, new Consumer(clock, timers, exchange, counters, chance.split(),
+                    link,
                     terms.terms(), b.queues())));
         }
     }
--- a/src/main/java/topazladder/net/peer/PeerNode.java
+++ b/src/main/java/topazladder/net/peer/PeerNode.java
@@ -70,7 +70,8 @@
                 new Bounds(settings.hedgeAfter(), settings.tryFor(), settings.tries()),
                 new SplittableRandom(terms.seed() ^ incarnation));
         asker = new PeerAsker(vertx, here, settings.tryFor(), () -> keys, this);
-        server = settings.listen() == null ? null : new PeerServer(vertx, learning, exchange::learned, instance::phase, counters,
+        server = settings.listen() == null ? null : new PeerServer(vertx, learning, exchange::learned,
+                instance::phase, counters,
                 new Giving(settings.sharesPerSecond(), settings.loopShare()), () -> keys);
     }
 
--- a/src/main/java/topazladder/rig/AmqpRig.java
+++ b/src/main/java/topazladder/rig/AmqpRig.java
@@ -49,7 +49,8 @@
 
         public String row(String name) {
             return String.format(Locale.ROOT, "| %s | %d | %.0f | %.0f | %.0f | %.0f %.0f %.0f %.0f |%n", name, tickets,
-                    tickets / seconds, perCoreSecond, bytesEach, residentMb[0], residentMb[1], residentMb[2], residentMb[3]);
+                    tickets / seconds, perCoreSecond, bytesEach, residentMb[0], residentMb[1], residentMb[2],
+                            residentMb[3]);
         }
     }
 
@@ -87,7 +88,8 @@
         AmqpRig rig = new AmqpRig(folder);
         try {
             rig.vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true)).connectHandler(rig::runtime)
-                    .listen(rig.runtime, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+                    .listen(rig.runtime, "127.0.0.1").toCompletionStage().toCompletableFuture().get(5,
+                            TimeUnit.SECONDS);
             return way.go(rig);
         } finally {
             rig.vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
@@ -123,15 +125,19 @@
 
     private Process start(String... more) throws IOException {
         JsonObject config = new JsonObject().put("name", "n1").put("listen", "127.0.0.1:" + port)
-                .put("runtime", "127.0.0.1:" + runtime).put("control", "127.0.0.1:9").put("seed", "1").put("stop_ms", 1000)
-                .put("settings", new JsonObject().put("Classes", new JsonArray().add(new JsonObject().put("Name", "read")
-                        .put("Idempotency", "safe").put("TargetNs", 20_000_000_000L).put("DeadlineNs", 30_000_000_000L)))
+                .put("runtime", "127.0.0.1:" + runtime).put("control", "127.0.0.1:9").put("seed", "1").put("stop_ms",
+                        1000)
+                .put("settings", new JsonObject().put("Classes", new JsonArray().add(new JsonObject().put("Name",
+                        "read")
+                        .put("Idempotency", "safe").put("TargetNs", 20_000_000_000L).put("DeadlineNs",
+                                30_000_000_000L)))
                         .put("Extra", new JsonObject().put("Cores", 256).put("MemoryKb", 10_000_000)
                                 .put("OwnStats", new JsonArray().add("core_use").add("on_cores"))));
         Files.writeString(folder.resolve("config.json"), config.encode());
         List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-Xms40m", "-Xmx40m", "-XX:TieredStopAtLevel=1", "-Dvertx.disableDnsResolver=true",
-                "-Xlog:gc:file=" + folder.resolve("gc.log"), "-jar", Path.of("target", "topazladder.jar").toAbsolutePath().toString(),
+                "-Xlog:gc:file=" + folder.resolve("gc.log"), "-jar", Path.of("target", "topazladder.jar")
+                        .toAbsolutePath().toString(),
                 "serve"));
         line.addAll(List.of(more));
         ProcessBuilder builder = new ProcessBuilder(line);
@@ -143,7 +149,8 @@
         Files.writeString(folder.resolve("password"), "secret");
         CompletableFuture<Broker> made = new CompletableFuture<>();
         vertx.runOnContext(v -> {
-            Broker b = new Broker(() -> System.nanoTime() / 1e9, (s, what) -> vertx.setTimer(Math.max(1, Math.round(s * 1000)),
+            Broker b = new Broker(() -> System.nanoTime() / 1e9, (s, what) -> vertx.setTimer(Math.max(1,
+                    Math.round(s * 1000)),
                     id -> what.run()), new Ledger(false));
             b.declareQueue("work", Map.of(), true, false);
             made.complete(b);
@@ -152,8 +159,10 @@
         BrokerServer server = new BrokerServer(vertx, broker, new BrokerServer.Terms("desk", "secret", 10, 131_072),
                 new NetServerOptions());
         int at = server.listen().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
-        Files.writeString(folder.resolve("own.txtpb"), "brokers { name: \"main\" address: \"127.0.0.1:" + at + "\" user: \"desk\""
-                + " password_file: \"password\" queues { name: \"work\" offering: \"header:offering\" prefetch: " + AT_ONCE + " } }");
+        Files.writeString(folder.resolve("own.txtpb"), "brokers { name: \"main\" address: \"127.0.0.1:" + at
+                + "\" user: \"desk\""
+                + " password_file: \"password\" queues { name: \"work\" offering: \"header:offering\" prefetch: "
+                        + AT_ONCE + " } }");
         int[] published = {0};
         vertx.setPeriodic(1, id -> {
             while (published[0] < count && broker.ready("work") < 2000) {
@@ -204,7 +213,8 @@
             String.valueOf(System.currentTimeMillis()), "sender", "4", "room", "2.2", "class_rank", "0.5"};
         Buffer fields = Buffer.buffer();
         for (int i = 0; i < pairs.length; i += 2) {
-            fields.appendByte((byte) pairs[i].length()).appendString(pairs[i]).appendShort((short) pairs[i + 1].length())
+            fields.appendByte((byte) pairs[i].length()).appendString(pairs[i]).appendShort((short) pairs[i
+                    + 1].length())
                     .appendString(pairs[i + 1]);
         }
         return Buffer.buffer().appendInt(6 + fields.length() + 200).appendByte((byte) 16).appendInt(stream)
@@ -251,7 +261,8 @@
     }
 
     private static double resident(long pid) throws IOException {
-        return Files.readAllLines(Path.of("/proc", String.valueOf(pid), "status")).stream().filter(l -> l.startsWith("VmRSS"))
+        return Files.readAllLines(Path.of("/proc", String.valueOf(pid), "status")).stream()
+                .filter(l -> l.startsWith("VmRSS"))
                 .mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D+", "")) / 1024).sum();
     }
 
--- a/src/main/java/topazladder/rig/LiveCallers.java
+++ b/src/main/java/topazladder/rig/LiveCallers.java
@@ -157,7 +157,8 @@
             List<LiveCallers> others = all.stream().filter(o -> o != this && !o.over).toList();
             if (!others.isEmpty()) {
                 LiveCallers next = others.get(habits.nextInt(others.size()));
-                timers.in(0.02 * scale, () -> send(next, new Tried(t.wanted(), t.fingerprint(), t.first(), true, t.of())));
+                timers.in(0.02 * scale, () -> send(next, new Tried(t.wanted(), t.fingerprint(), t.first(), true,
+                        t.of())));
             }
         }
     }
--- a/src/main/java/topazladder/rig/LiveIndex.java
+++ b/src/main/java/topazladder/rig/LiveIndex.java
@@ -28,7 +28,8 @@
 
     private void connected(NetSocket socket) {
         Set<Object> mine = new HashSet<>(); // calls of this connection, emptied as they end
-        LineReader reader = new LineReader(200, w -> w[0].equals("GET") && w.length == 4 ? LineReader.length(w[3]) : -1);
+        LineReader reader = new LineReader(200, w -> w[0].equals("GET") && w.length == 4 ? LineReader.length(w[3])
+                : -1);
         socket.handler(more -> {
             try {
                 reader.feed(more.getBytes());
--- a/src/main/java/topazladder/rig/LiveRuntime.java
+++ b/src/main/java/topazladder/rig/LiveRuntime.java
@@ -132,6 +132,7 @@
 
     @Override public void wants(String ref, long notice, byte[] body) {
         // The run's own number of the notice is not used: the numbers here count ends as well.
-        notice("wants " + ++number + " " + ref, new String(body, StandardCharsets.US_ASCII).getBytes(StandardCharsets.US_ASCII));
+        notice("wants " + ++number + " " + ref, new String(body, StandardCharsets.US_ASCII)
+                .getBytes(StandardCharsets.US_ASCII));
     }
 }
--- a/src/main/java/topazladder/rig/PeerRig.java
+++ b/src/main/java/topazladder/rig/PeerRig.java
@@ -141,7 +141,8 @@
                 List<Traffic.Kind> mix = kinds;
                 machines.add(onLoop(() -> new LiveRuntime(vertx, clock, timers, ports[3 * n + 1])));
                 long mine = i < 2 ? chance.nextLong() : coldSeed;
-                callers.add(onLoop(() -> new LiveCallers(vertx, clock, timers, name, ports[3 * n], machines.get(n), callers,
+                callers.add(onLoop(() -> new LiveCallers(vertx, clock, timers, name, ports[3 * n], machines.get(n),
+                        callers,
                         mix, condition.load() * CORES / meanRun, new double[] {PeerTrial.HEED, PeerTrial.RETRY},
                         PeerTrial.READING * meanRun, SCALE, mine)));
             }
@@ -208,7 +209,8 @@
     }
 
     private Process start(String name, int peerPort, List<Integer> peers, Path key) throws IOException {
-        StringBuilder settings = new StringBuilder("machine { core_speed: 1 }\npeering {\n  listen: \"127.0.0.1:" + peerPort
+        StringBuilder settings = new StringBuilder("machine { core_speed: 1 }\npeering {\n  listen: \"127.0.0.1:"
+                + peerPort
                 + "\"\n  key_file: \"" + key.getFileName() + "\"\n");
         for (int i = 0; i < peers.size(); i++) {
             settings.append("  peers { name: \"warm").append(i).append("\" address: \"127.0.0.1:").append(peers.get(i))
@@ -239,10 +241,14 @@
                         .put("ClassSkipWorth", new JsonArray().add(0.5).add(0).add(0)).put("Below", "common")
                         .put("CallsOut", 10).put("CallsOverNs", (long) (5e9 * SCALE)).put("Cores", CORES)
                         .put("MemoryKb", 200_000).put("RunFactor", 8).put("KeyKb", 10).put("Say", "min_rank")
-                        .put("HeededNs", (long) (1e9 * SCALE)).put("OwnStats", new JsonArray().add("core_use").add("on_cores")))
-                        .put("PolicyLimits", new JsonObject().put("RetryAfter", true).put("MaxRetryAfterNs", 1_000_000_000L))
-                        .put("Safety", new JsonObject().put("AnswerSlackNs", 100_000_000L).put("DrainGraceNs", 1_000_000_000L)
-                                .put("FallMultiple", 8).put("ColdFrom", 0.25).put("WarmAfterNs", (long) (16e9 * SCALE))));
+                        .put("HeededNs", (long) (1e9 * SCALE)).put("OwnStats", new JsonArray().add("core_use")
+                                .add("on_cores")))
+                        .put("PolicyLimits", new JsonObject().put("RetryAfter", true).put("MaxRetryAfterNs",
+                                1_000_000_000L))
+                        .put("Safety", new JsonObject().put("AnswerSlackNs", 100_000_000L).put("DrainGraceNs",
+                                1_000_000_000L)
+                                .put("FallMultiple", 8).put("ColdFrom", 0.25).put("WarmAfterNs",
+                                        (long) (16e9 * SCALE))));
     }
 
     private static JsonObject offering(String name, String repeats, long soft, long outer, double payoff) {
--- a/src/test/java/topazladder/AmqpServiceTest.java
+++ b/src/test/java/topazladder/AmqpServiceTest.java
@@ -79,7 +79,8 @@
             b.declareQueue("answers", Map.of(), true, false);
             return b;
         });
-        server = new BrokerServer(vertx, broker, new BrokerServer.Terms("desk", "secret", 1, 8192), new NetServerOptions());
+        server = new BrokerServer(vertx, broker, new BrokerServer.Terms("desk", "secret", 1, 8192),
+                new NetServerOptions());
         brokerPort = await(server.listen().toCompletionStage().toCompletableFuture());
         Files.writeString(folder.resolve("password"), "secret\n");
     }
@@ -133,7 +134,8 @@
                  {"Name":"read","Idempotency":"safe","TargetNs":20000000000,"DeadlineNs":30000000000},
                  {"Name":"place","Idempotency":"keyed","TargetNs":20000000000,"DeadlineNs":30000000000,
                   "WindowNs":60000000000,"Importance":10},
-                 {"Name":"invoice","Idempotency":"unsafe","TargetNs":20000000000,"DeadlineNs":30000000000,"Importance":10}],
+                 {"Name":"invoice","Idempotency":"unsafe","TargetNs":20000000000,"DeadlineNs":30000000000,
+                  "Importance":10}],
                  "Extra":{"Cores":1,"MemoryKb":100000,"OwnStats":["core_use","on_cores"]}}}"""
                 .formatted(port, runtime.address()), Map.of()), own, exit::complete);
         service.start();
@@ -148,7 +150,8 @@
             if (mark != null) {
                 headers.put("mark", mark);
             }
-            return broker.publish("", "orders", headers, new Props(null, 2, null, "c-" + id, replyTo, null, id, null, null,
+            return broker.publish("", "orders", headers, new Props(null, 2, null, "c-" + id, replyTo, null, id, null,
+                    null,
                     null, null), body.getBytes(StandardCharsets.UTF_8));
         });
     }
@@ -268,7 +271,8 @@
         publish("4", "read", null, "good", null);
         passes(begins("read", "good"), "x");
         until(() -> broker.ready("dead") == 3 && count(What.ACKNOWLEDGED) == 4);
-        assertThat(onLoop(() -> broker.waiting("dead").stream().map(m -> m.headers().get("x-topazladder-reason")).toList()))
+        assertThat(onLoop(() -> broker.waiting("dead").stream().map(m -> m.headers().get("x-topazladder-reason"))
+                .toList()))
                 .containsExactly("not mapped: no known offering", "not mapped: no fingerprint",
                         "not mapped: too large: 1001 bytes");
     }
@@ -363,7 +367,8 @@
     void theExampleDeclaresItsTopologyAndADelayedMessageComesBackToItsQueue() throws Exception {
         Files.writeString(folder.resolve("broker.password"), "secret\n");
         String example = Files.readString(Path.of("deploy", "amqp.example.txtpb"))
-                .replace("127.0.0.1:5672", "127.0.0.1:" + brokerPort).replace("=order-place", "=place").replace("=price-push", "=read");
+                .replace("127.0.0.1:5672", "127.0.0.1:" + brokerPort).replace("=order-place", "=place")
+                        .replace("=price-push", "=read");
         serve(SettingsFile.of(example, folder));
         until(() -> server.connections() == 2);
         until(() -> {
@@ -374,7 +379,8 @@
             } catch (Broker.Refused e) {
                 return false; // the topology is not made yet
             }
-            broker.publish("orders.later", "prices", Map.of("x-topazladder-routing-key", "new.acme"), new Props(null, 2, null, null, null,
+            broker.publish("orders.later", "prices", Map.of("x-topazladder-routing-key", "new.acme"), new Props(null,
+                    2, null, null, null,
                     "50", "w", null, null, null, null), "waited".getBytes(StandardCharsets.UTF_8));
             return true;
         });
@@ -431,7 +437,8 @@
                                 .setKeyPath(folder.resolve("broker.key").toString()))
                         .setTrustOptions(new PemTrustOptions().addCertPath(folder.resolve("desk.crt").toString())));
         int at = await(secure.listen(free()).toCompletionStage().toCompletableFuture());
-        String tls = "external: true tls { trust_file: \"broker.crt\" certificate_file: \"desk.crt\" key_file: \"desk.key\""
+        String tls = "external: true tls { trust_file: \"broker.crt\" certificate_file: \"desk.crt\" key_file:"
+                + " \"desk.key\""
                 + " server_name: \"%s\" }";
         serve(settings(at, tls.formatted("another.test")));
         publish("1", "read", null, "one", null);
@@ -446,7 +453,8 @@
     private void keys(String name, String names) throws Exception {
         Path store = folder.resolve(name + ".p12");
         String tool = Path.of(System.getProperty("java.home"), "bin", "keytool").toString();
-        Process made = new ProcessBuilder(tool, "-genkeypair", "-alias", name, "-keyalg", "EC", "-groupname", "secp256r1",
+        Process made = new ProcessBuilder(tool, "-genkeypair", "-alias", name, "-keyalg", "EC", "-groupname",
+                "secp256r1",
                 "-dname", "CN=" + name, "-ext", "san=" + names, "-validity", "30", "-storetype", "PKCS12", "-keystore",
                 store.toString(), "-storepass", "changeit").redirectErrorStream(true).start();
         assertThat(new String(made.getInputStream().readAllBytes(), StandardCharsets.UTF_8)).doesNotContain("error");
--- a/src/test/java/topazladder/PackedProgramIT.java
+++ b/src/test/java/topazladder/PackedProgramIT.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -64,7 +66,8 @@
         Process wrong = start(folder.resolve("wrong"), List.of(), "serve", "--settings", settings.toString());
         assertThat(wrong.waitFor(20, TimeUnit.SECONDS)).isTrue();
         assertThat(wrong.exitValue()).isEqualTo(2);
-        assertThat(Files.readAllLines(folder.resolve("wrong"))).hasSize(1).allMatch(l -> l.startsWith("serve: settings: line 1"));
+        assertThat(Files.readAllLines(folder.resolve("wrong"))).hasSize(1)
+                .allMatch(l -> l.startsWith("serve: settings: line 1"));
     }
 
     private Process start(Path log, List<String> flags, String... command) throws IOException {
@@ -75,6 +78,10 @@
         line.addAll(List.of(command));
         ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().put("GW_CONFIG", Path.of("deploy", "rehearsal.json").toAbsolutePath().toString());
+        // A port that is free now: the file's own may be some connection's other end by chance.
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            builder.environment().put("GW_LISTEN", "127.0.0.1:" + free.getLocalPort());
+        }
         return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
     }
 
--- a/src/test/java/topazladder/PeerPairsTest.java
+++ b/src/test/java/topazladder/PeerPairsTest.java
@@ -28,7 +28,8 @@
         for (Condition condition : Condition.values()) {
             for (Told told : EnumSet.of(Told.HOUR_OLD, Told.STALE, Told.FOREIGN, Told.CUT, Told.TROUBLED)) {
                 Result r = PeerExperiment.pairs(condition, told, Set.of(), 20);
-                soft.assertThat(r.lost().moreBeyondNoise()).as(condition + " " + told + ": " + r.lost().row()).isFalse();
+                soft.assertThat(r.lost().moreBeyondNoise()).as(condition + " " + told + ": " + r.lost().row())
+                        .isFalse();
             }
         }
         soft.assertAll();
--- a/src/test/java/topazladder/PeeringServiceTest.java
+++ b/src/test/java/topazladder/PeeringServiceTest.java
@@ -145,7 +145,8 @@
         "peering { key_file: \"key\" wait: nan } | peering.wait should be a number from 0.0 to 60.0: NaN",
         "peering { key_file: \"key\" listen: \"here\" } | peering.listen should be like 127.0.0.1:4100: here",
         "peering { key_file: \"key\" peers { address: \"127.0.0.1:1\" } } | peering.peers[0].name should be a word: ''",
-        "peering { key_file: \"key\" leave_out: \"WEATHER\" } | peering.leave_out should be one of [RUN_TIME, CALLS_IN_HAND, OUTGOING]: WEATHER",
+        "peering { key_file: \"key\" leave_out: \"WEATHER\" } | peering.leave_out should be one of [RUN_TIME,"
+                + " CALLS_IN_HAND, OUTGOING]: WEATHER",
         "machine { core_speed: -2 } | machine.core_speed should be a number from 0.0 to 1000.0: -2.0",
         "machine { weather: 1 } | settings: line 1: 1:11: Input contains unknown fields and/or extensions:"})
     void whatIsWrongIsNamedByItsKey(String text, String error) throws IOException {
--- a/src/test/java/topazladder/broker/AmqpCodecTest.java
+++ b/src/test/java/topazladder/broker/AmqpCodecTest.java
@@ -20,7 +20,8 @@
     private static final Props PROPS = new Props("text/plain", 2, 9, "c", "r", "1000", "id", 7L, "t", "u", "a");
 
     private static byte[] sample() {
-        byte[] method = AmqpCodec.frame(AmqpCodec.METHOD, 3, AmqpCodec.method("queue.declare", 0, "orders", true, false, true,
+        byte[] method = AmqpCodec.frame(AmqpCodec.METHOD, 3, AmqpCodec.method("queue.declare", 0, "orders", true,
+                false, true,
                 false, true, Map.of("x-message-ttl", 5L, "deep", Map.of("list", List.of("a", 1, true, 2.5)))));
         byte[] head = AmqpCodec.frame(AmqpCodec.HEADER, 3, AmqpCodec.content(4, PROPS, Map.of("offering", "place")));
         byte[] body = AmqpCodec.frame(AmqpCodec.BODY, 3, "body".getBytes());
@@ -102,7 +103,8 @@
     @Test
     void topicPatternsMatchWords() {
         assertThat(List.of("a.b", "a.b.c", "a").stream().map(k -> matches("a.#", k))).containsExactly(true, true, true);
-        assertThat(List.of("a.b", "a.b.c", "a").stream().map(k -> matches("a.*", k))).containsExactly(true, false, false);
+        assertThat(List.of("a.b", "a.b.c", "a").stream().map(k -> matches("a.*", k))).containsExactly(true, false,
+                false);
         assertThat(List.of("x.b.c", "b").stream().map(k -> matches("#.b.#", k))).containsExactly(true, true);
     }
 
--- a/src/test/java/topazladder/delivery/DeliveryTest.java
+++ b/src/test/java/topazladder/delivery/DeliveryTest.java
@@ -44,7 +44,8 @@
 
     private static QueueTerms terms(Route delay, String rank, boolean believe) {
         return new QueueTerms("q", new Fields(Pick.of("", "header:offering"), Pick.of("", "routing-key:2"),
-                Pick.of("", "property:message-id"), Pick.of("", rank), null, believe), 8, 3, 100, delay, null, 10, true);
+                Pick.of("", "property:message-id"), Pick.of("", rank), null, believe), 8, 3, 100, delay, null, 10,
+                        true);
     }
 
     private static Delivery delivery(String offering, String key, Properties p, byte[] body, String... headers) {
@@ -65,7 +66,8 @@
 
     @Test
     void everyFieldComesFromWhereTheSettingsSay() {
-        Mapped m = map(delivery("place", "new.acme", id("F"), new byte[50], Mapping.TRIES, "2"), terms(null, null, false));
+        Mapped m = map(delivery("place", "new.acme", id("F"), new byte[50], Mapping.TRIES, "2"), terms(null, null,
+                false));
         assertThat(m.arrival().customer()).isEqualTo("acme");
         assertThat(m.arrival().fingerprint()).isEqualTo("F");
         assertThat(m.arrival().rank()).isEqualTo(0.999);
@@ -75,7 +77,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"unheard-of,new.acme,F,10,,no known offering", "place,new,F,10,,no customer", "place,new.acme,,10,,no fingerprint",
+    @CsvSource({"unheard-of,new.acme,F,10,,no known offering", "place,new,F,10,,no customer",
+            "place,new.acme,,10,,no fingerprint",
         "read,new.acme,,101,,too large: 101 bytes", "read,new.acme,,10,NaN,a rank that is none",
         "read,new.acme,,10,-1,a rank that is none", "read,new.acme,,10,1e9,a rank that is none",
         "read,new.acme,,10,none,a rank that is none"})
@@ -98,7 +101,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"weather", "header:", "property:weather", "routing-key:0", "routing-key:x"})
     void aPickThatIsNoneIsToldByItsKey(String text) {
-        assertThatThrownBy(() -> Pick.of("rank", text)).isInstanceOf(BadTerms.class).hasMessageStartingWith("rank should");
+        assertThatThrownBy(() -> Pick.of("rank", text)).isInstanceOf(BadTerms.class)
+                .hasMessageStartingWith("rank should");
     }
 
     /** The table of docs/amqp.md; a dash in place of an answer stands for a ticket that can't be decided on. */
@@ -172,7 +176,8 @@
         r.done(d, 0, 0);
         assertThat(r.isDone(d, 0, 10)).isTrue();
         assertThat(r.isDone(d, 1, 10)).as("a copy that waited").isFalse();
-        assertThat(r.isDone(delivery("place", "new.acme", id("A"), new byte[] {2}), 0, 10)).as("another body").isFalse();
+        assertThat(r.isDone(delivery("place", "new.acme", id("A"), new byte[] {2}), 0, 10)).as("another body")
+                .isFalse();
         assertThat(r.isDone(delivery("place", "new.acme", id(null), new byte[] {1}), 0, 10)).as("no id").isFalse();
         assertThat(r.isDone(d, 0, Remembered.KEPT + 1)).as("too long ago").isFalse();
     }
--- a/src/test/java/topazladder/knowledge/KnowledgeTest.java
+++ b/src/test/java/topazladder/knowledge/KnowledgeTest.java
@@ -23,7 +23,8 @@
 
     @Provide
     Arbitrary<Knowledge> knowledge() {
-        Arbitrary<Origin> origins = Combinators.combine(Arbitraries.of("n0", "n1", "n2"), Arbitraries.longs().between(6, 8),
+        Arbitrary<Origin> origins = Combinators.combine(Arbitraries.of("n0", "n1", "n2"), Arbitraries.longs()
+                .between(6, 8),
                 Arbitraries.of(0.0, 2.0, 4.0), Arbitraries.of(0.0, 1.0, 2.0), Arbitraries.longs().between(98, 99))
                 .as(Origin::new);
         // Few values, so that equal versions with other contents come up as well.
--- a/src/test/java/topazladder/peering/PeeringTest.java
+++ b/src/test/java/topazladder/peering/PeeringTest.java
@@ -99,7 +99,8 @@
 
     private static List<Candidate> peers(int count) {
         return IntStream.range(0, count)
-                .mapToObj(i -> new Candidate("p" + i, "127.0.0.1:" + (5000 + i), i % 2 == 0 ? "east" : "west")).toList();
+                .mapToObj(i -> new Candidate("p" + i, "127.0.0.1:" + (5000 + i), i % 2 == 0 ? "east" : "west"))
+                        .toList();
     }
 
     @Test
