Test that the packed program carries no native library, so its sockets stay on NIO

Vert.x takes Netty's native transports only where their libraries are on the class path; target/lib holds Netty's unix-common jar, which has classes only.

--- a/src/test/java/topazladder/PackedProgramIT.java
+++ b/src/test/java/topazladder/PackedProgramIT.java
@@ -70,6 +70,22 @@
                 .allMatch(l -> l.startsWith("serve: settings: line 1"));
     }
 
+    @Test
+    void thePlainProgramCarriesNoNativeLibrarySoItsSocketsAreTheJavaMachinesOwn() throws IOException {
+        // Netty's native transports (epoll, io_uring) bring splice, sendfile and io_uring, which the mass bench refuses;
+        // without a native library in target/lib, Vert.x stays on NIO. The unix-common jar carries classes only.
+        List<String> natives = new ArrayList<>();
+        try (Stream<Path> jars = Files.list(JAR.resolveSibling("lib"))) {
+            for (Path jar : jars.toList()) {
+                try (JarFile file = new JarFile(jar.toFile())) {
+                    file.stream().map(entry -> jar.getFileName() + "!" + entry.getName())
+                            .filter(name -> name.endsWith(".so") || name.endsWith(".jnilib")).forEach(natives::add);
+                }
+            }
+        }
+        assertThat(natives).isEmpty();
+    }
+
     private Process start(Path log, List<String> flags, String... command) throws IOException {
         List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Dvertx.disableDnsResolver=true"));
