Show that the run line starts with fork refused, where the line before failed to start

RunLineTest plays the line so (skipped where strace is missing or cannot trace); it fails on the line before.

--- a/src/test/java/topazladder/RunLineTest.java
+++ b/src/test/java/topazladder/RunLineTest.java
@@ -70,6 +70,23 @@
                 .hasSize(2).last().asString().endsWith("/java\"");
     }
 
+    @Test
+    void withForkRefusedAsTheMassBenchDoesTheLineStillStartsJavaSizedByTheLimit() throws Exception {
+        // strace makes every fork and clone fail with ENOSYS, as the bench's filter does; the line before this one
+        // stopped there with "Cannot fork" and status 2, a failed start.
+        assumeTrue(Files.isExecutable(Path.of("/usr/bin/strace")), "strace is not on this machine");
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"limits\":{\"cores\":0.5,\"memory_mb\":64,\"sockets\":384}}");
+        Process probe = run(List.of("/usr/bin/strace", "-o", "/dev/null", "-e", "inject=clone:error=ENOSYS", "/bin/true"),
+                null);
+        assumeTrue(probe.exitValue() == 0, "strace may not trace here");
+        Process refused = run(List.of("/usr/bin/strace", "-f", "-o", "/dev/null", "-e",
+                "inject=fork,vfork,clone,clone3:error=ENOSYS", "/bin/sh", "-c", runLine()), config);
+        assertThat(new String(refused.getErrorStream().readAllBytes(), StandardCharsets.UTF_8)).isEmpty();
+        assertThat(refused.exitValue()).isZero();
+        assertThat(Files.readString(folder.resolve("seen"))).contains("-Xmx21m");
+    }
+
     private Played play(String config) throws IOException, InterruptedException {
         Path file = null;
         if (config != null) {
