--- a/src/test/java/topazladder/PackedProgramIT.java
+++ b/src/test/java/topazladder/PackedProgramIT.java
@@ -72,8 +72,9 @@
 
     @Test
     void thePlainProgramCarriesNoNativeLibrarySoItsSocketsAreTheJavaMachinesOwn() throws IOException {
-        // Netty's native transports (epoll, io_uring) bring splice, sendfile and io_uring, which the mass bench refuses;
-        // without a native library in target/lib, Vert.x stays on NIO. The unix-common jar carries classes only.
+        // Netty's native transports (epoll, io_uring) bring splice, sendfile and io_uring, which the mass bench
+        // refuses; without a native library in target/lib, Vert.x stays on NIO. The unix-common jar carries classes
+        // only.
         List<String> natives = new ArrayList<>();
         try (Stream<Path> jars = Files.list(JAR.resolveSibling("lib"))) {
             for (Path jar : jars.toList()) {
--- a/src/test/java/topazladder/RunLineTest.java
+++ b/src/test/java/topazladder/RunLineTest.java
@@ -18,9 +18,10 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * The {@code run} line of the deploy file, played by {@code /bin/sh -c} as the benches do, against a stand-in {@code java}
- * that writes down its process id and its arguments. The mass bench refuses fork and every program but the one the line
- * ends in, so the line must size the heap by shell builtins and reach {@code java} by {@code exec} in the same process.
+ * The {@code run} line of the deploy file, played by {@code /bin/sh -c} as the benches do, against a stand-in
+ * {@code java} that writes down its process id and its arguments. The mass bench refuses fork and every program but
+ * the one the line ends in, so the line must size the heap by shell builtins and reach {@code java} by {@code exec} in
+ * the same process.
  * The search path holds the stand-in alone: any other program the line names is not found, and the shell says so.
  */
 @Timeout(30)
@@ -31,8 +32,8 @@
 
     @Test
     void aLimitUnderOneHundredAndTwentyMegabytesGivesAThirdOfItAsHeapWithoutAnyOtherProgram() throws Exception {
-        Played played = play("{\"name\":\"n3\",\"stop_ms\":3200,\"limits\":{\"cores\":0.5,\"memory_mb\":64,\"sockets\":384},"
-                + "\"settings\":{}}");
+        Played played = play("{\"name\":\"n3\",\"stop_ms\":3200,"
+                + "\"limits\":{\"cores\":0.5,\"memory_mb\":64,\"sockets\":384},\"settings\":{}}");
         assertThat(played.error).isEmpty();
         assertThat(played.arguments).contains("-Xms21m", "-Xmx21m", "-Djava.net.preferIPv4Stack=true", "serve");
         assertThat(played.javaPid).as("java runs in the shell's own process").isEqualTo(played.shellPid);
@@ -61,8 +62,8 @@
         Path trace = folder.resolve("trace");
         Path config = folder.resolve("config.json");
         Files.writeString(config, "{\"limits\":{\"memory_mb\":48}}");
-        Process traced = run(List.of("/usr/bin/strace", "-f", "-e", "trace=process", "-o", trace.toString(), "/bin/sh", "-c",
-                runLine()), config);
+        Process traced = run(List.of("/usr/bin/strace", "-f", "-e", "trace=process", "-o", trace.toString(),
+                "/bin/sh", "-c", runLine()), config);
         assumeTrue(traced.exitValue() == 0 && Files.exists(trace), "strace may not trace here");
         List<String> calls = Files.readAllLines(trace);
         assertThat(calls).noneMatch(call -> call.matches("^\\d+\\s+(v?fork|clone3?)\\(.*"));
@@ -77,8 +78,8 @@
         assumeTrue(Files.isExecutable(Path.of("/usr/bin/strace")), "strace is not on this machine");
         Path config = folder.resolve("config.json");
         Files.writeString(config, "{\"limits\":{\"cores\":0.5,\"memory_mb\":64,\"sockets\":384}}");
-        Process probe = run(List.of("/usr/bin/strace", "-o", "/dev/null", "-e", "inject=clone:error=ENOSYS", "/bin/true"),
-                null);
+        Process probe = run(List.of("/usr/bin/strace", "-o", "/dev/null", "-e", "inject=clone:error=ENOSYS",
+                "/bin/true"), null);
         assumeTrue(probe.exitValue() == 0, "strace may not trace here");
         Process refused = run(List.of("/usr/bin/strace", "-f", "-o", "/dev/null", "-e",
                 "inject=fork,vfork,clone,clone3:error=ENOSYS", "/bin/sh", "-c", runLine()), config);
