--- a/src/main/java/topazladder/emulator/Branch.java
+++ b/src/main/java/topazladder/emulator/Branch.java
@@ -1,9 +1,7 @@
 package topazladder.emulator;
 
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import topazladder.config.Terms;
@@ -15,7 +13,6 @@
 import topazladder.service.Callers;
 import topazladder.service.Counters;
 import topazladder.service.Exchange;
-import topazladder.service.IndexPort;
 import topazladder.service.Instance;
 import topazladder.service.RuntimePort;
 import topazladder.ticket.Ending;
@@ -24,15 +21,14 @@
  * One instance of the program in virtual time, the program's own objects from the exchange inwards, with a runtime and
  * callers of its own. It counts what its callers got, by windows.
  */
-final class Branch implements RuntimePort, IndexPort, Callers, Runtime.Listener {
-    /** Seconds that a message takes from one part to the next. */
-    private static final double LINK = 0.0005;
+final class Branch implements RuntimePort, Callers, Runtime.Listener {
+    private static final double LINK = Calls.LINK;
     /** Callers heed a level for a second. */
     private static final double HEEDED = 1;
 
     private final String name;
     private final Timeline time;
-    private final Below below;
+    private final Calls calls;
     private final Runtime runtime;
     private final Exchange exchange;
     private final Instance instance;
@@ -46,7 +42,6 @@
     private final double from;
     private final double[] asked;
     private final double[] earned;
-    private final Map<String, Double> patience = new LinkedHashMap<>(); // one a call; emptied as it ends
     private final double reading;
     /** Whom callers try next; the list of all that serve, this one among them. */
     private final List<Branch> all;
@@ -71,7 +66,7 @@
         reading = plan.reading();
         this.name = name;
         this.time = time;
-        this.below = below;
+        calls = new Calls(time, below, name);
         rate = plan.rate();
         heed = plan.heed();
         retries = plan.retries();
@@ -84,7 +79,8 @@
         traffic = new Traffic(chance.split(), plan.kinds());
         habits = chance.split();
         runtime = new Runtime(time, time, plan.shape(), plan.cold(), this);
-        exchange = new Exchange(time, plan.terms(), this, this, this, time, new Counters());
+        exchange = new Exchange(time, plan.terms(), this, calls, this, time, new Counters());
+        calls.answerTo(exchange);
         instance = new Instance(name, plan.seed(), 10, time, exchange, this, time, () -> { });
         instance.listening();
         instance.runtimeUp(plan.cold());
@@ -202,31 +198,7 @@
     }
 
     @Override public void wants(String ref, long notice, byte[] body) {
-        time.in(LINK, () -> exchange.callWanted(ref, notice, body));
-    }
-
-    // ---- What lies below
-
-    @Override public void call(String ref, double seconds, boolean repeatable, byte[] body) {
-        double mine = time.getAsDouble();
-        patience.put(ref, mine);
-        below.call(name + ref, Double.parseDouble(new String(body, StandardCharsets.US_ASCII)),
-                () -> ended(ref, mine, Ending.OK));
-        time.in(seconds, () -> ended(ref, mine, Ending.ABANDONED));
-    }
-
-    private void ended(String ref, double begun, Ending how) {
-        if (patience.remove(ref, begun)) {
-            if (how != Ending.OK) {
-                below.giveUp(name + ref);
-            }
-            time.in(LINK, () -> exchange.callEnded(ref, how, new byte[] {'y'}));
-        }
-    }
-
-    @Override public void giveUp(String ref) {
-        patience.remove(ref);
-        below.giveUp(name + ref);
+        calls.wanted(ref, notice, body);
     }
 
     // ---- Callers' connections
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -27,7 +27,6 @@
 import topazladder.service.Callers;
 import topazladder.service.Counters;
 import topazladder.service.Exchange;
-import topazladder.service.IndexPort;
 import topazladder.service.Instance;
 import topazladder.service.RuntimePort;
 import topazladder.ticket.Ending;
@@ -61,19 +60,9 @@
             Classes.2.TargetNs=1800000000
             Classes.2.DeadlineNs=4600000000
             Classes.2.Importance=10
-            Extra.CallsByClass=true,true,true
             Extra.Cores=4
-            Extra.MemoryKb=200000
-            Extra.RunFactor=8
-            Extra.KeyKb=10
-            Extra.Say=min_rank
-            Extra.OwnStats=core_use,on_cores
-            PolicyLimits.RetryAfter=true
-            PolicyLimits.MaxRetryAfterNs=1000000000
-            Safety.AnswerSlackNs=100000000
             Safety.DrainGraceNs=2000000000
-            Safety.FallMultiple=8
-            """;
+            """ + Brief.MACHINE;
 
     /** Where one run began. */
     public record Run(String instance, long message, String offering, double at, double arrived) {
@@ -100,10 +89,10 @@
     }
 
     /** One instance with its machine, its dependency and its link. */
-    private final class Worker implements RuntimePort, IndexPort, Callers, Runtime.Listener {
+    private final class Worker implements RuntimePort, Callers, Runtime.Listener {
         final String name;
         final Runtime runtime;
-        final Below below;
+        final Calls calls;
         final Exchange exchange;
         final Instance instance;
         final Counters counters = new Counters();
@@ -111,15 +100,15 @@
         final Consumer consumer;
         final Map<String, Double> arrived = new HashMap<>();
         final Map<String, byte[]> bodies = new HashMap<>();
-        final Map<String, Double> calls = new HashMap<>();
         double leftAt = Double.POSITIVE_INFINITY;
         boolean over;
 
         Worker(String name, SplittableRandom own) {
             this.name = name;
             runtime = new Runtime(time, time, new Runtime.Shape(4, 1, 1, 1, 3), false, this);
-            below = new Below(time, time, 4);
-            exchange = new Exchange(time, Terms.ofLines(SETTINGS), this, this, this, time, counters);
+            calls = new Calls(time, new Below(time, time, 4), "");
+            exchange = new Exchange(time, Terms.ofLines(SETTINGS), this, calls, this, time, counters);
+            calls.answerTo(exchange);
             instance = new Instance(name, own.nextLong(), 6, time, exchange, this, time, () -> over = true);
             instance.listening();
             instance.runtimeUp(false);
@@ -175,27 +164,7 @@
         }
 
         @Override public void wants(String ref, long notice, byte[] body) {
-            time.in(0.0005, () -> exchange.callWanted(ref, notice, body));
-        }
-
-        @Override public void call(String ref, double seconds, boolean repeatable, byte[] body) {
-            double mine = time.getAsDouble();
-            calls.put(ref, mine);
-            below.call(ref, Double.parseDouble(new String(body, StandardCharsets.US_ASCII)), () -> called(ref, mine,
-                    Ending.OK));
-            time.in(seconds, () -> called(ref, mine, Ending.ABANDONED));
-        }
-
-        private void called(String ref, double begun, Ending how) {
-            if (calls.remove(ref, begun)) {
-                below.giveUp(ref);
-                time.in(0.0005, () -> exchange.callEnded(ref, how, new byte[] {'y'}));
-            }
-        }
-
-        @Override public void giveUp(String ref) {
-            calls.remove(ref);
-            below.giveUp(ref);
+            calls.wanted(ref, notice, body);
         }
 
         @Override public void closeIdle(double seconds) {
--- a/src/main/java/topazladder/emulator/MixedTrial.java
+++ b/src/main/java/topazladder/emulator/MixedTrial.java
@@ -21,7 +21,6 @@
 import topazladder.service.Callers;
 import topazladder.service.Counters;
 import topazladder.service.Exchange;
-import topazladder.service.IndexPort;
 import topazladder.service.Instance;
 import topazladder.service.RuntimePort;
 import topazladder.ticket.Ending;
@@ -72,16 +71,16 @@
         return e / a;
     }
 
-    private final class Machine implements RuntimePort, IndexPort, Callers, Runtime.Listener {
+    private final class Machine implements RuntimePort, Callers, Runtime.Listener {
         final Runtime runtime = new Runtime(time, time, new Runtime.Shape(CORES, 1, 1, 1, 2), false, this);
-        final Below below = new Below(time, time, 12);
+        final Calls calls = new Calls(time, new Below(time, time, 12), "");
         final Terms terms = Terms.ofLines(PeerTrial.SETTINGS);
         final Counters counters = new Counters();
-        final Exchange exchange = new Exchange(time, terms, this, this, this, time, counters);
-        final Map<String, Double> calls = new HashMap<>();
+        final Exchange exchange = new Exchange(time, terms, this, calls, this, time, counters);
         final Map<String, String> names = new HashMap<>(); // ref to the ticket's name
 
         Machine(long seed) {
+            calls.answerTo(exchange);
             Instance instance = new Instance("n", seed, 10, time, exchange, this, time, () -> { });
             instance.listening();
             instance.runtimeUp(false);
@@ -121,26 +120,7 @@
         }
 
         @Override public void wants(String ref, long notice, byte[] body) {
-            time.in(0.0005, () -> exchange.callWanted(ref, notice, body));
-        }
-
-        @Override public void call(String ref, double seconds, boolean repeatable, byte[] body) {
-            double mine = time.getAsDouble();
-            calls.put(ref, mine);
-            below.call(ref, Double.parseDouble(new String(body)), () -> called(ref, mine, Ending.OK));
-            time.in(seconds, () -> called(ref, mine, Ending.ABANDONED));
-        }
-
-        private void called(String ref, double begun, Ending how) {
-            if (calls.remove(ref, begun)) {
-                below.giveUp(ref);
-                time.in(0.0005, () -> exchange.callEnded(ref, how, new byte[] {'y'}));
-            }
-        }
-
-        @Override public void giveUp(String ref) {
-            calls.remove(ref);
-            below.giveUp(ref);
+            calls.wanted(ref, notice, body);
         }
 
         @Override public void closeIdle(double seconds) {
--- a/src/main/java/topazladder/emulator/PeerTrial.java
+++ b/src/main/java/topazladder/emulator/PeerTrial.java
@@ -129,25 +129,15 @@
             Classes.2.TargetNs=1800000000
             Classes.2.DeadlineNs=4600000000
             Classes.2.Importance=10
-            Extra.CallsByClass=true,true,true
             Extra.ClassSkipWorth=0.5,0,0
             Extra.Below=common
             Extra.CallsOut=10
             Extra.CallsOverNs=5000000000
             Extra.Cores=6
-            Extra.MemoryKb=200000
-            Extra.RunFactor=8
-            Extra.KeyKb=10
-            Extra.Say=min_rank
-            Extra.OwnStats=core_use,on_cores
-            PolicyLimits.RetryAfter=true
-            PolicyLimits.MaxRetryAfterNs=1000000000
-            Safety.AnswerSlackNs=100000000
             Safety.DrainGraceNs=1000000000
-            Safety.FallMultiple=8
             Safety.ColdFrom=0.25
             Safety.WarmAfterNs=16000000000
-            """;
+            """ + Brief.MACHINE;
 
     private PeerTrial() {
     }
--- a/src/main/java/topazladder/rig/PeerRig.java
+++ b/src/main/java/topazladder/rig/PeerRig.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
@@ -99,15 +98,7 @@
     }
 
     private <T> T onLoop(Supplier<T> what) throws Exception {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        vertx.runOnContext(v -> {
-            try {
-                done.complete(what.get());
-            } catch (RuntimeException e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return done.get(20, TimeUnit.SECONDS);
+        return OnLoop.get(vertx, what);
     }
 
     private Pair run(Condition condition, long seed) throws Exception {
--- a/src/test/java/topazladder/AmqpServiceTest.java
+++ b/src/test/java/topazladder/AmqpServiceTest.java
@@ -40,6 +40,7 @@
 import topazladder.config.ServiceTerms;
 import topazladder.config.SettingsFile;
 import topazladder.net.Service;
+import topazladder.rig.OnLoop;
 
 /** A service instance that consumes from the stand-in broker, on loopback, with harm done by script. */
 @Timeout(60)
@@ -106,15 +107,7 @@
     }
 
     private <T> T onLoop(Supplier<T> what) throws Exception {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        vertx.runOnContext(v -> {
-            try {
-                done.complete(what.get());
-            } catch (RuntimeException e) {
-                done.completeExceptionally(e);
-            }
-        });
-        return await(done);
+        return OnLoop.get(vertx, what);
     }
 
     private OwnSettings settings(int at, String more) {
