--- a/src/main/java/topazladder/emulator/Calls.java
+++ b/src/main/java/topazladder/emulator/Calls.java
@@ -8,9 +8,9 @@
 import topazladder.ticket.Ending;
 
 /**
- * One instance's calls to what lies below, in virtual time: each takes the work its body names from the shared slots and
- * is abandoned when its patience ends, whichever comes first; the end is told to the exchange once. The same for every
- * trial of the emulator, so that calls cost alike in all of them.
+ * One instance's calls to what lies below, in virtual time: each takes the work its body names from the shared slots
+ * and is abandoned when its patience ends, whichever comes first; the end is told to the exchange once. The same for
+ * every trial of the emulator, so that calls cost alike in all of them.
  */
 final class Calls implements IndexPort {
     /** Seconds that a message takes from one part to the next. */
