Keep the peer tests from hanging on a busy machine: the test giver never defers

Seen: PeerTest timed out once in a full mvn verify (aBitChangedOnTheWay..., 20 s at PeerTest.java:131) and passed alone.

Cause: the test server's Giving(1e6, 1) lets the next share come no sooner than the last one took; on a busy machine a share takes long enough that the next ask of the loop is put off with LATER. The Way in the middle then changes a byte past the end of that short answer; the ArrayIndexOutOfBoundsException is no IOException, so the Way's thread died and every later asker waited for a greeting. Checked: with only the Way's catch widened, the timeout is gone and cutAnywhere still fails on LATER (two plays under load); the program's giver behaves as its own GivingTest says, so nothing changes outside the test.

Change: the test server's Giving part of the loop is 1e6 (never binds), and the Way goes on after any exception.

--- a/src/test/java/topazladder/net/peer/PeerTest.java
+++ b/src/test/java/topazladder/net/peer/PeerTest.java
@@ -74,7 +74,10 @@
         learning.hear(heard);
         heard.forEach(f -> truth.add(f.origin().name() + f.kind() + f.value()));
         truth.add("giver" + Kind.RUN_TIME + 0.1);
-        server = new PeerServer(vertx, learning, () -> own, () -> phase, counters, new Giving(1e6, 1), () -> givenKeys);
+        // Giving's rate and part of the loop are GivingTest's to hold. Here they never bind: with a part of 1, a busy
+        // machine made a share take long enough that the next ask was put off, and what a test saw hung on the load.
+        server = new PeerServer(vertx, learning, () -> own, () -> phase, counters, new Giving(1e6, 1e6),
+                () -> givenKeys);
         at = free();
         server.listen(at).toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
@@ -152,8 +155,9 @@
                         far.getOutputStream().write(question);
                         byte[] said = far.getInputStream().readAllBytes();
                         near.getOutputStream().write(change.apply(said));
-                    } catch (IOException e) {
-                        // The asker closed first, or the test is over.
+                    } catch (IOException | RuntimeException e) {
+                        // The asker closed first, the test is over, or a change did not fit what was said: the next
+                        // asker must still be let in, or it waits for a greeting that never comes.
                         continue;
                     }
                 }
