--- a/src/test/java/topazladder/net/peer/PeerTest.java
+++ b/src/test/java/topazladder/net/peer/PeerTest.java
@@ -74,7 +74,7 @@
         learning.hear(heard);
         heard.forEach(f -> truth.add(f.origin().name() + f.kind() + f.value()));
         truth.add("giver" + Kind.RUN_TIME + 0.1);
-        // Giving's rate and part of the loop are GivingTest's to hold. Here they never bind: with a part of 1, a busy
+        // Giving's rate and part of the loop are PeeringTest's to hold. Here they never bind: with a part of 1, a busy
         // machine made a share take long enough that the next ask was put off, and what a test saw hung on the load.
         server = new PeerServer(vertx, learning, () -> own, () -> phase, counters, new Giving(1e6, 1e6),
                 () -> givenKeys);
