Pay what is owed as a window, a run, a due time or a wait for the runtime ends

The window counts from the reading; where the caller's clock is ahead, from its time. - A try that never ran stayed remembered past its window, and its repeat waited for a run that was not. - Repeats that waited for a run were broken off where its result had no room to be kept: they get it all the same. - Results took up to 8 MB of any heap, of 10 MB where the limit is 32 MB: now a fifth of the heap, 8 MB at most. - A fault over one answer lost all that was ruled after it, the next timer among them: no due time was kept from then on. - SIGTERM while the runtime is awaited closed at once over tickets on their way: who is connected is told first. - A deep check on a lost link was never answered. - A start that the runtime may have read, of a link that broke, is in doubt: with an effect it is not sent again, but waited for three times as long as such runs take, then broken off, and only then started once more, to be told that it is over.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -98,6 +98,7 @@
 
     public List<Ruling> callWanted(double time, Ticket ticket) {
         return at(time, ticket, Place.RUNNING, c -> {
+            c.doubtedUntil = c.startAgainAt = Double.POSITIVE_INFINITY;
             cores.leave(c);
             if (c.answered) {
                 rulings.add(Ruling.of(What.BREAK_OFF, ticket));
@@ -107,6 +108,22 @@
         });
     }
 
+    /**
+     * The link to the runtime broke after its start was written; no notice shows that it was read. Started
+     * again, one with an effect could run twice if it ends just then: it waits for a sign three times as long
+     * as runs take, as most starts were read.
+     */
+    public List<Ruling> startInDoubt(double time, Ticket ticket) {
+        return at(time, ticket, Place.RUNNING, c -> {
+            if (c.offering.repeats() == Repeats.RETRIABLE) {
+                rulings.add(Ruling.of(What.START, ticket));
+            } else {
+                double usual = runTimes.get(c.offering).value;
+                c.doubtedUntil = usual > 0 ? Math.min(c.useful, now + 3 * usual) : c.useful;
+            }
+        });
+    }
+
     public List<Ruling> callEnded(double time, Ticket ticket, Ending ending, double elapsed) {
         return at(time, ticket, Place.CALLING, c -> calls.ended(c, ending, elapsed));
     }
@@ -206,7 +223,9 @@
         double callAgainAt;
         int tries;
         final List<Case> followers = new ArrayList<>(0); // the repeats that wait for its end, and go with it
-        double rememberedUntil; // 0 if its fingerprint is not remembered
+        double rememberedUntil; // 0 if its fingerprint was never remembered
+        double doubtedUntil = Double.POSITIVE_INFINITY; // no sign by then: its run is given up for lost
+        double startAgainAt = Double.POSITIVE_INFINITY;
 
         Case(Ticket ticket) {
             this.ticket = ticket;
@@ -354,10 +373,11 @@
                 return;
             }
             drain.take(c);
-            double until = c.arrived + c.offering.window();
-            if (c.place != Place.OVER && until > now) {
-                rulings.add(Ruling.of(What.REMEMBER, c.ticket, until - now));
-                c.rememberedUntil = until;
+            if (c.place != Place.OVER && c.offering.window() > 0) {
+                // From its reading on, not from its arrival: a try that came within a short window may lie
+                // unread as long as this one did, and would run as well if the window had ended meanwhile.
+                rulings.add(Ruling.of(What.REMEMBER, c.ticket, c.offering.window()));
+                c.rememberedUntil = now + c.offering.window();
                 entries.add(c);
             }
         }
@@ -368,7 +388,9 @@
         }
 
         @Override void back(Case c) {
-            if (!c.ran && entries.remove(c)) {
+            entries.remove(c);
+            // Also past its window: a try of then that is read now would wait for a run that never was.
+            if (!c.ran && c.rememberedUntil > 0) {
                 rulings.add(Ruling.of(What.FORGET, c.ticket));
             }
         }
@@ -676,7 +698,24 @@
             }
         }
 
+        /** What is over is not run: started again after its answer, it only shows that it never was. */
+        private void settle(Case c) {
+            if (now >= c.startAgainAt) {
+                c.startAgainAt = Double.POSITIVE_INFINITY;
+                rulings.add(Ruling.of(What.START, c.ticket));
+            } else if (now >= c.doubtedUntil) {
+                c.doubtedUntil = Double.POSITIVE_INFINITY;
+                // The answer takes another way than the start, which must not come before it.
+                c.startAgainAt = now + Math.max(shortestLimit / 4, term("answer-slack", 0.0));
+                if (!c.answered) {
+                    c.answered = true;
+                    rulings.add(Ruling.of(What.BREAK_OFF, c.ticket));
+                }
+            }
+        }
+
         @Override void tend() {
+            open.values().forEach(this::settle);
             others.add(Math.max(0, gauges.getOrDefault("on-cores", (double) on) - on));
             pressed &= on >= bound && !hold.held.isEmpty();
             if (now < nextLook) {
--- a/src/main/java/topazladder/service/Exchange.java
+++ b/src/main/java/topazladder/service/Exchange.java
@@ -66,6 +66,7 @@
     private boolean gaugesAwaited;
     private List<Learned> early = List.of(); // learned before the module started; emptied as it does
     private double wakePeriod;
+    private boolean awake; // no timer is set
     private int owed;
     private double payoffAsked;
     private double payoffHonoured;
@@ -261,6 +262,20 @@
     /** What the gauges said last is of a moment that passes; without any the module goes by its own counts. */
     public void runtimeLost() {
         gauges = Map.of();
+        // What was asked on the link that is lost is not asked again: those who check would wait for ever.
+        List<Caller> asked = List.copyOf(checks.values());
+        checks.clear();
+        asked.forEach(c -> c.health(false, level));
+    }
+
+    /** After a lost link nothing shows whether the runtime read the start of this ticket. */
+    public void startInDoubt(String ref) {
+        InHand h = byRef.get(ref);
+        if (h != null) {
+            counters.add(Count.STARTS_IN_DOUBT);
+            touched.add(h);
+            tell(b -> b.startInDoubt(now(), h.ticket));
+        }
     }
 
     public void verdict(long tag, boolean passed) {
@@ -304,8 +319,9 @@
         Kept kept = h.kept;
         if (kept != null && kept.holder == h) {
             fingerprints.runOver(kept, passed);
+            // Owed to those that wait even where it is not kept: let go for want of room, or its place taken.
             for (InHand j : List.copyOf(kept.joined)) {
-                endJoined(j);
+                endJoined(j, passed);
             }
             kept.joined.clear();
         }
@@ -359,12 +375,20 @@
         telling = true;
         try {
             for (var next = happenings.poll(); next != null; next = happenings.poll()) {
-                next.apply(brain).forEach(this::carryOut);
+                List<Ruling> rulings = List.of();
+                try {
+                    rulings = next.apply(brain);
+                } catch (RuntimeException e) {
+                    fault(e);
+                }
+                for (Ruling r : rulings) {
+                    try {
+                        carryOut(r);
+                    } catch (RuntimeException e) {
+                        fault(e);
+                    }
+                }
             }
-        } catch (RuntimeException e) {
-            // One happening's fault must not end the process that all other tickets are in.
-            counters.add(Count.FAULTS);
-            LOG.error("a fault of the program", e);
         } finally {
             telling = false;
         }
@@ -378,6 +402,12 @@
         touched.clear();
     }
 
+    /** One ticket's fault must not end the process that all others are in, nor cost them what was ruled on them. */
+    private void fault(RuntimeException e) {
+        counters.add(Count.FAULTS);
+        LOG.error("a fault of the program", e);
+    }
+
     private void carryOut(Ruling r) {
         InHand h = r.ticket() == null ? null : byTicket.get(r.ticket());
         if (h != null) {
@@ -385,14 +415,16 @@
         }
         switch (r.what()) {
             case START -> {
-                counters.add(Count.RUNS_STARTED);
+                counters.add(h.started ? Count.RUNS_STARTED_AGAIN : Count.RUNS_STARTED);
                 h.started = true;
                 runtime.start(h.arrival.ref(), h.arrival.offering(), h.arrival.body());
             }
             case DEFER -> answer(h, How.DEFERRED, r.number(), r.yes(), NOTHING);
             case BREAK_OFF -> answer(h, How.BROKEN_OFF, 0, false, NOTHING);
             case JOIN -> join(h);
-            case REMEMBER -> fingerprints.remember(h, clock.getAsDouble() + r.number());
+            // Counted from its arrival where that is later: the caller's clock may be ahead of this one.
+            case REMEMBER -> fingerprints.remember(h,
+                    Math.max(clock.getAsDouble(), h.arrival.since()) + r.number());
             case FORGET -> fingerprints.forget(h);
             case CALL -> {
                 counters.add(Count.CALLS_MADE);
@@ -416,10 +448,7 @@
                 health = r.yes();
             }
             case CLOSE_IDLE -> callers.closeIdle(r.number());
-            case WAKE -> {
-                wakePeriod = r.number();
-                timers.in(wakePeriod, this::wake);
-            }
+            case WAKE -> wakeIn(r.number());
             case NOTE -> LOG.info("{}", r.text());
             case STOP -> LOG.warn("this runtime knows no command that stops a run");
         }
@@ -456,15 +485,16 @@
 
     private void join(InHand h) {
         counters.add(Count.JOINED);
-        if (h.kept == null || h.kept.over) {
-            endJoined(h);
+        if (h.kept == null) {
+            endJoined(h, null);
+        } else if (h.kept.over || !byTicket.containsKey(h.kept.holder.ticket)) {
+            endJoined(h, h.kept.result); // without the second, it would wait for a run that is not
         } else {
             h.kept.joined.add(h);
         }
     }
 
-    private void endJoined(InHand h) {
-        byte[] result = h.kept == null ? null : h.kept.result;
+    private void endJoined(InHand h, byte[] result) {
         double since = h.arrival.since();
         if (!h.answered) {
             end(h, result);
@@ -493,7 +523,17 @@
 
     private void timer() {
         gaugesAwaited = false;
+        awake = true;
         tell(b -> b.timer(now(), gauges));
+        if (awake && !telling) {
+            wakeIn(wakePeriod); // after a fault: without timers no ticket would be answered by its due time any more
+        }
+    }
+
+    private void wakeIn(double seconds) {
+        awake = false;
+        wakePeriod = seconds;
+        timers.in(seconds, this::wake);
     }
 
     /** Seconds of the module's time, which never runs backwards though the clock may be set. */
--- a/src/main/java/topazladder/service/Fingerprints.java
+++ b/src/main/java/topazladder/service/Fingerprints.java
@@ -10,8 +10,9 @@
 
 /** The fingerprints that the module ruled to remember, with what became of the run. */
 final class Fingerprints {
-    /** Results past this are not kept, so that no flood of them fills the heap; their repeats are broken off. */
-    private static final int MOST_BYTES = 8 << 20;
+    /** Of the heap, which is small on a day of 32 MB: the rest is for the tickets in hand and their connections. */
+    private static final double SHARE = 0.2;
+    private static final long ENOUGH_BYTES = 8 << 20;
 
     /** One remembered ticket: whichever try has the entry, and the result of the run once that is over. */
     static final class Kept {
@@ -32,9 +33,16 @@
     /** Emptied by FORGET, and by the sweep once no try of the window can still be unread. */
     private final Map<String, Kept> entries = new HashMap<>();
     private final MessageDigest hash;
-    private int bytes;
+    private final long most;
+    private long bytes;
 
     Fingerprints() {
+        this(Runtime.getRuntime().maxMemory());
+    }
+
+    /** @param heap bytes; results past a share of it are not kept, and their repeats are broken off */
+    Fingerprints(long heap) {
+        most = Math.min(ENOUGH_BYTES, (long) (SHARE * heap));
         try {
             hash = MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
@@ -82,7 +90,7 @@
     void runOver(Kept kept, byte[] result) {
         kept.over = true;
         kept.holder = null;
-        if (entries.get(kept.fingerprint) == kept && result != null && bytes + result.length <= MOST_BYTES) {
+        if (entries.get(kept.fingerprint) == kept && result != null && bytes + result.length <= most) {
             kept.result = result;
             bytes += result.length;
         }
--- a/src/main/java/topazladder/service/Instance.java
+++ b/src/main/java/topazladder/service/Instance.java
@@ -105,6 +105,11 @@
             killAt = clock.getAsDouble() + stopAfter;
             exchange.leave(Math.max(0, stopAfter - 2 * CLEARING));
             clear();
+        } else if (phase == Phase.AWAITING_RUNTIME) {
+            // Nothing ran and nothing is owed, but whoever is connected may be writing: told before it is closed.
+            enter(Phase.DRAINING);
+            killAt = clock.getAsDouble() + Math.min(stopAfter, 3 * CLEARING);
+            clear();
         } else if (phase != Phase.DRAINING) {
             stop();
         }
