Leave and take up the link to the runtime with no run lost or started twice

Cause, by reading: a start that was sent again after a lost link could start what had ended between the runtime's answer and the command (the known gap). Then, found in the same lines: a link on which nothing is said any more was waited on for ever; one that was left with bytes that could not go out stays open behind them, and what came late on it was fed to the reader of the next. Change: a start that was written is the module's to rule on; one ruled while there was no link is just sent. A link that moves is left once the runtime has shown to have read all that was written to it, after 0.2 s at most. 5 s and 100 questions without a word, and it is taken anew. What comes on a link that was left is not read.

--- a/src/main/java/topazladder/net/RuntimeLink.java
+++ b/src/main/java/topazladder/net/RuntimeLink.java
@@ -8,6 +8,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazladder.config.ServiceTerms.Address;
+import topazladder.net.Unacknowledged.Command;
 import topazladder.net.codec.LineReader;
 import topazladder.net.codec.Malformed;
 import topazladder.net.codec.RuntimeLines;
@@ -28,6 +29,15 @@
 final class RuntimeLink implements RuntimePort {
     private static final Logger LOG = LoggerFactory.getLogger(RuntimeLink.class);
 
+    /**
+     * Without a word for so long, and through so many questions: the other end is gone and no packet said so. Both, as
+     * after a pause of this machine the time is long and nothing was asked.
+     */
+    private static final long SILENT_NS = 5_000_000_000L;
+    private static final int MOST_UNANSWERED = 100;
+    /** An answer to a question takes a few of them at most, unless the link is worth nothing any more. */
+    private static final long HAND_OVER_MS = 200;
+
     private final Vertx vertx;
     private final Counters counters;
     private final NetClient client;
@@ -38,9 +48,12 @@
     private Instance instance;
     private int attempt; // the latest connect or wait for one; whatever an earlier one leads to is let go
     private NetSocket socket; // null while there is no link
+    private NetSocket next; // takes its place as soon as all that was written to it is shown to be read
     private LineReader reader;
     private long lastNotice;
     private boolean caughtUp; // all notices of before are read, so that commands may be given
+    private int unanswered; // questions since the runtime said anything
+    private long lastWord = System.nanoTime();
     private boolean over;
 
     RuntimeLink(Vertx vertx, Address address, Counters counters) {
@@ -58,6 +71,9 @@
 
     void close() {
         over = true;
+        if (next != null) {
+            next.close();
+        }
         if (socket != null) {
             socket.close();
         }
@@ -90,7 +106,39 @@
         });
     }
 
+    /**
+     * A link in use is left once the runtime has shown to have read all that was written to it: of a start that it has
+     * not, nobody could tell whether it was. One that is silent or stalled is left all the same.
+     */
     private void connected(NetSocket s) {
+        if (next != null) {
+            next.close();
+        }
+        next = null;
+        if (caughtUp && unacknowledged.anyWritten()) {
+            next = s;
+            s.exceptionHandler(e -> s.close());
+            s.closeHandler(v -> {
+                if (next == s) {
+                    next = null;
+                    again();
+                }
+            });
+            write(RuntimeLines.gauges("c" + unacknowledged.lastWritten()));
+            vertx.setTimer(HAND_OVER_MS, id -> takeNext(s));
+        } else {
+            use(s);
+        }
+    }
+
+    private void takeNext(NetSocket s) {
+        if (next != null && next == s && !over) {
+            next = null;
+            use(s);
+        }
+    }
+
+    private void use(NetSocket s) {
         NetSocket old = socket;
         socket = s;
         caughtUp = false;
@@ -113,7 +161,11 @@
                 counters.add(Count.LINKS_LOST);
                 LOG.warn("the link to the runtime is lost after notice {}", lastNotice);
             }
-            again();
+            if (next != null) {
+                takeNext(next);
+            } else {
+                again();
+            }
         }
     }
 
@@ -129,6 +181,12 @@
     }
 
     private void read(NetSocket from, Buffer more) {
+        if (socket != from) {
+            // One left with bytes that could not go out is still open: what comes late on it would tear a line here.
+            return;
+        }
+        unanswered = 0;
+        lastWord = System.nanoTime();
         try {
             reader.feed(more.getBytes());
             for (LineReader.Line l = reader.next(); l != null && socket == from; l = reader.next()) {
@@ -146,7 +204,7 @@
             backoff.reset();
             LOG.info("the runtime is up since {} s, {}", ready.secondsAgo(), ready.loaded() ? "loaded" : "empty");
             // The answer to a question comes after all notices of before; only then is it known what ran.
-            write(RuntimeLines.gauges("c" + unacknowledged.last()));
+            write(RuntimeLines.gauges("c" + unacknowledged.lastWritten()));
             instance.runtimeUp(!ready.loaded());
         } else if (notice instanceof Load load) {
             load(load);
@@ -185,9 +243,20 @@
     private void load(Load load) {
         if (!caughtUp) {
             caughtUp = true;
-            unacknowledged.all().forEach(c -> write(c.bytes()));
+            for (Command c : unacknowledged.all()) {
+                if (c.start() && unacknowledged.wasWritten(c)) {
+                    // A run that was started and ends in this instant would be started a second time.
+                    unacknowledged.heardOf(c.ref());
+                    exchange.startInDoubt(c.ref());
+                } else {
+                    write(c);
+                }
+            }
         } else {
             unacknowledged.readUpTo(tag(load.tag().replaceFirst("^c", "")));
+            if (!unacknowledged.anyWritten()) {
+                takeNext(next);
+            }
         }
         exchange.gaugesRead(load.values());
     }
@@ -200,13 +269,21 @@
         }
     }
 
-    private void command(String ref, byte[] bytes) {
-        unacknowledged.add(ref, bytes);
-        if (caughtUp) {
-            write(bytes);
+    private void command(String ref, boolean start, byte[] bytes) {
+        if (over) {
+            return; // what is read after the shutdown is never sent on
+        }
+        Command c = unacknowledged.add(ref, start, bytes);
+        if (caughtUp && next == null) {
+            write(c);
         }
     }
 
+    private void write(Command c) {
+        unacknowledged.written(c);
+        write(c.bytes());
+    }
+
     private void write(byte[] bytes) {
         if (socket != null) {
             socket.write(Buffer.buffer(bytes));
@@ -214,24 +291,34 @@
     }
 
     @Override public void start(String ref, String offering, byte[] body) {
-        command(ref, RuntimeLines.start(ref, offering, body));
+        command(ref, true, RuntimeLines.start(ref, offering, body));
     }
 
     @Override public void give(String ref, byte[] reply) {
-        command(ref, RuntimeLines.give(ref, reply));
+        command(ref, false, RuntimeLines.give(ref, reply));
     }
 
     @Override public void omit(String ref, long notice) {
-        command(ref, RuntimeLines.omit(ref, notice));
+        command(ref, false, RuntimeLines.omit(ref, notice));
     }
 
     @Override public void askGauges() {
+        if (socket != null && ++unanswered > MOST_UNANSWERED && System.nanoTime() - lastWord > SILENT_NS) {
+            unanswered = 0;
+            lastWord = System.nanoTime();
+            counters.add(Count.LINKS_STALLED);
+            LOG.warn("the link to the runtime is silent after notice {}", lastNotice);
+            connect();
+        }
         if (caughtUp) {
-            write(RuntimeLines.gauges("c" + unacknowledged.last()));
+            write(RuntimeLines.gauges("c" + unacknowledged.lastWritten()));
         }
     }
 
     @Override public void askWhetherWorkGetsDone(long tag) {
+        if (socket == null) {
+            exchange.verdict(tag, false); // nobody would ever tell
+        }
         write(RuntimeLines.selftest(String.valueOf(tag)));
     }
 }
--- a/src/main/java/topazladder/net/Unacknowledged.java
+++ b/src/main/java/topazladder/net/Unacknowledged.java
@@ -6,24 +6,43 @@
 
 /**
  * Commands that the runtime has not shown to have read: sent again on a new link, and no others. Sent twice, one
- * could start again what has ended, or answer the wrong call; never sent, a run would hang.
+ * could start again what has ended, or answer the wrong call; never sent, a run would hang. Of a start that was
+ * written, the module says whether and when.
  */
 final class Unacknowledged {
 
-    record Command(long number, String ref, byte[] bytes) {
+    /** @param start whether it starts a run */
+    record Command(long number, String ref, boolean start, byte[] bytes) {
     }
 
     /** Emptied by whatever the runtime says later on the same link, and by a notice on the same ticket. */
     private final Deque<Command> commands = new ArrayDeque<>();
     private long last;
+    private long written;
 
-    void add(String ref, byte[] bytes) {
-        commands.add(new Command(++last, ref, bytes));
+    Command add(String ref, boolean start, byte[] bytes) {
+        Command c = new Command(++last, ref, start, bytes);
+        commands.add(c);
+        return c;
     }
 
-    /** The number of the last command so far: what answers a question asked now has read all up to it. */
-    long last() {
-        return last;
+    /** It was written to some link, and all before it. */
+    void written(Command c) {
+        written = Math.max(written, c.number());
+    }
+
+    /** Whether the runtime may have read it: what was ruled while there was no link it surely has not. */
+    boolean wasWritten(Command c) {
+        return c.number() <= written;
+    }
+
+    boolean anyWritten() {
+        return !commands.isEmpty() && wasWritten(commands.peek());
+    }
+
+    /** The number of the last command written so far: what answers a question asked now has read all up to it. */
+    long lastWritten() {
+        return written;
     }
 
     void readUpTo(long number) {
