End callers' connections in order, in each direction by itself, and take in whoever the system took

Cause, by reading: Vert.x ends both directions at once, so a caller that had sent all it wanted lost its answers; at the end of the process connections were closed over what lay unread; the listening socket closed at the last call while the gate held back callers whom the system had taken, and reset them; a newcomer to a table in which all are owed something was closed over its first ticket; one idle that gave way was cut; after a pause of the machine whoever had said nothing in it was taken for silent. Change: a half-closed caller is answered and ended with the last answer; hangUp tells (48), ends its own side, reads away and closes; the server stops listening once the gate is open; newcomers are let in beyond the table up to the gate, and told 48; looks that were missed in a pause count for one.

--- a/src/main/java/topazladder/net/AcceptGate.java
+++ b/src/main/java/topazladder/net/AcceptGate.java
@@ -25,6 +25,11 @@
         this.most = most;
     }
 
+    /** Whether newcomers are held back, asked from any thread. */
+    boolean shut() {
+        return open.get() >= most;
+    }
+
     @Override public void channelRead(ChannelHandlerContext listening, Object accepted) {
         Channel parent = listening.channel();
         if (open.incrementAndGet() >= most) {
--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -32,12 +32,17 @@
     private static final int MOST_UNUSABLE = 3;
     /** Of tickets taken back since the last answer: twice what can be open at once is no loss of patience. */
     private static final int MOST_TAKEN_BACK = 2 * MOST_OPEN;
-    /** What says nothing for so long, or stops within a message, is closed: others wait for its place. */
-    private static final long DUMB_NS = 2_000_000_000L;
+    /**
+     * What says nothing for so many looks, two seconds, or stops within a message, is closed: others wait for its
+     * place. Counted in looks: in a pause of the machine nobody could say anything, and none is taken.
+     */
+    private static final int DUMB_LOOKS = (int) (2000 / CallerServer.LEAST_SWEEP_MS);
     /** Closed with bytes unread, a connection would be reset before its caller read why it is closed. */
     private static final long PARTING_MS = 300;
-    /** By then a caller that was told of the last call has heard it, and closes by itself if it ever will. */
-    private static final double TOLD_NS = 5e8;
+    /** What a caller sends before it has seen that nothing is taken any more is read away for so long. */
+    private static final long HANGING_UP_MS = 100;
+    /** A caller that sends no more is asked twice whether it still reads: the first is answered by a reset if not. */
+    private static final long PROBE_MS = 50;
 
     private final Vertx vertx;
     private final NetSocket socket;
@@ -49,13 +54,16 @@
     private final Map<Long, Waiting> open = new HashMap<>();
     private long lastStream;
     private long lastUsed = System.nanoTime();
-    private long partFrom = lastUsed; // since when a message is awaited that has not come whole; 0 if none is
+    private boolean awaiting = true; // a message has not come whole
+    private int looks; // since it is awaited
     private int unusable;
     private int takenBack;
     private boolean proven; // a sound message came
     private int asked;
     private long lastCallAt; // 0 until it was told that no new ticket is wanted
-    private boolean parting; // nothing more is read
+    private boolean heardAll; // its caller sends no more
+    private boolean stuck; // nothing more is read until what was written has gone out
+    private boolean parting; // what still comes is of no use
     private boolean closed;
 
     CallerConnection(Vertx vertx, NetSocket socket, Exchange exchange, Counters counters,
@@ -69,12 +77,13 @@
         socket.handler(this::read);
         socket.exceptionHandler(e -> socket.close());
         socket.closeHandler(v -> closed());
+        Directions.watch(socket, this::heardAll);
         socket.shutdownHandler(v -> { }); // told by lastCall; without a handler the socket is closed at once
     }
 
     private void read(Buffer more) {
         if (parting) {
-            return; // was under way when it was paused
+            return; // never passed on: its answer could not be given any more
         }
         lastUsed = System.nanoTime();
         try {
@@ -84,11 +93,10 @@
                 whole = true;
                 take(m);
             }
-            if (reader.isEmpty()) {
-                partFrom = 0;
-            } else if (whole || partFrom == 0) {
-                partFrom = lastUsed;
+            if (whole || !awaiting) {
+                looks = 0;
             }
+            awaiting = !reader.isEmpty();
         } catch (Malformed e) {
             part(Count.CONNECTIONS_ENDED_AS_MALFORMED, e.getMessage());
         }
@@ -133,12 +141,20 @@
         }
         lastUsed = System.nanoTime();
         socket.write(Buffer.buffer(frame));
-        if (socket.writeQueueFull()) {
+        if (socket.writeQueueFull() && !stuck) {
+            stuck = true;
             socket.pause();
-            socket.drainHandler(v -> socket.resume());
+            socket.drainHandler(v -> unstuck());
         }
     }
 
+    /** What had come before the end of its caller's side is read first. */
+    private void unstuck() {
+        stuck = false;
+        socket.resume();
+        vertx.runOnContext(v -> closeIfAllIsSaid());
+    }
+
     /** Asks for no new ticket; the caller closes once all is answered, or is closed on when idle. */
     void lastCall() {
         if (lastCallAt == 0) {
@@ -147,20 +163,51 @@
         }
     }
 
-    /** First it is told, so that no ticket crosses the close; what is open is never cut. */
-    void closeIfIdle(double seconds, long now) {
+    /**
+     * Its caller sends no more: gone, or waiting for what is open. What is owed is answered, and the end comes with the
+     * last answer; the word that no ticket is wanted does no harm to who waits, and finds out who is gone.
+     */
+    private void heardAll() {
+        heardAll = true;
+        if (parting || open.isEmpty() && !stuck) {
+            socket.close();
+        } else {
+            write(CallerFrames.noNewTicket());
+            vertx.setTimer(PROBE_MS, id -> write(CallerFrames.noNewTicket()));
+        }
+    }
+
+    /**
+     * First it is told, so that no ticket crosses the close; what is open is never cut.
+     *
+     * @param told seconds from that word on in which a caller that heeds it has closed by itself
+     */
+    void closeIfIdle(double seconds, double told, long now) {
         if (!parting && open.isEmpty() && now - lastUsed > seconds * 1e9) {
             if (lastCallAt == 0) {
                 lastCall();
-            } else if (now - lastCallAt > Math.min(seconds * 1e9, TOLD_NS)) {
-                socket.close();
+            } else if (now - lastCallAt > told * 1e9) {
+                hangUp();
             }
         }
     }
 
+    /**
+     * Ends it with nothing owed. Its own side is closed first and what still comes is read away: closed over unread
+     * bytes it would be reset, and its caller would lose the last answer.
+     */
+    void hangUp() {
+        if (!parting) {
+            parting = true;
+            lastCall();
+            Directions.finish(socket);
+            vertx.setTimer(HANGING_UP_MS, id -> socket.close());
+        }
+    }
+
     /** What was never said, or said by half, ends it; what waits for an answer or between two tickets does not. */
-    void closeIfDumb(long now) {
-        if (!parting && partFrom != 0 && now - partFrom > DUMB_NS) {
+    void closeIfDumb() {
+        if (!parting && awaiting && ++looks > DUMB_LOOKS) {
             part(proven ? Count.CONNECTIONS_ENDED_AS_HALF_SAID : Count.CONNECTIONS_ENDED_AS_SILENT,
                     "no whole request in time");
         }
@@ -180,6 +227,11 @@
         return lastUsed;
     }
 
+    /** Whether it ever said anything sound. */
+    boolean proven() {
+        return proven;
+    }
+
     void cut() {
         socket.close();
         closed();
@@ -197,12 +249,19 @@
             waiting.gone();
         }
         write(CallerFrames.error(why));
+        Directions.finish(socket);
         // It may send at full speed, and reading what nobody takes would cost the others their time.
         socket.drainHandler(null);
         socket.pause();
         vertx.setTimer(PARTING_MS, id -> socket.close());
     }
 
+    private void closeIfAllIsSaid() {
+        if (heardAll && !parting && !stuck && open.isEmpty()) {
+            socket.close();
+        }
+    }
+
     private void closed() {
         if (!closed) {
             closed = true;
@@ -226,6 +285,7 @@
             if (open.remove(stream) != null) {
                 takenBack = 0;
                 write(CallerFrames.answer(stream, answer));
+                closeIfAllIsSaid();
             }
         }
 
@@ -239,6 +299,7 @@
         @Override public void health(boolean good, Double level) {
             if (open.remove(stream) != null) {
                 write(CallerFrames.health(stream, good, level));
+                closeIfAllIsSaid();
             }
         }
 
--- a/src/main/java/topazladder/net/CallerServer.java
+++ b/src/main/java/topazladder/net/CallerServer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import topazladder.config.ServiceTerms.Address;
 import topazladder.service.Callers;
 import topazladder.service.Counters;
@@ -20,7 +21,7 @@
 /** Listens for callers and keeps their connections, so many and no more. */
 final class CallerServer implements Callers {
     /** Looks for idle connections no more often than this, however short they may idle. */
-    private static final long LEAST_SWEEP_MS = 100;
+    static final long LEAST_SWEEP_MS = 100;
 
     /** Past any time from the notice to the kill: the instance ends before its server does. */
     private static final long LONGEST_SHUTDOWN_S = 3600;
@@ -29,23 +30,35 @@
     private static final double FILLED = 0.7;
     /** Seconds: between two tickets of a busy caller lies less. */
     private static final double LEAST_IDLE = 0.5;
+    /** Seconds: by then a caller that was told of the last call has heard it, and closes by itself if it ever will. */
+    private static final double TOLD = 0.5;
+    /** The same as the instance leaves, of the 0.6 that the last call comes before the kill. */
+    private static final double TOLD_AT_LAST = 0.25;
+    private static final long LOOK_MS = 20;
     private static final Comparator<CallerConnection> LEAST_FIRST =
             Comparator.comparingInt(CallerConnection::standing).thenComparingLong(CallerConnection::lastUsed);
 
     private final Vertx vertx;
     private final Counters counters;
     private final int most;
+    private final BooleanSupplier heldBack;
     private final NetServer server;
     /** One a connection; emptied as they close. */
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private Exchange exchange;
     private double idle = Double.POSITIVE_INFINITY;
     private boolean lastCall;
+    private boolean ended;
+    private long lastSweep = System.nanoTime();
 
-    /** @param most connections at once: the rest of the descriptors is for the other sockets and files */
-    CallerServer(Vertx vertx, int most, Counters counters) {
+    /**
+     * @param most connections at once: the rest of the descriptors is for the other sockets and files
+     * @param heldBack whether newcomers are waiting in the system's hands because of that
+     */
+    CallerServer(Vertx vertx, int most, BooleanSupplier heldBack, Counters counters) {
         this.vertx = vertx;
         this.most = most;
+        this.heldBack = heldBack;
         this.counters = counters;
         server = vertx.createNetServer(new NetServerOptions().setReuseAddress(true).setTcpNoDelay(true)
                 .setAcceptBacklog(1024));
@@ -58,15 +71,13 @@
     }
 
     private void connected(NetSocket socket) {
-        if (connections.size() >= most && !makeRoom()) {
-            counters.add(Count.CONNECTIONS_TURNED_AWAY);
-            socket.close();
-            return;
-        }
-        counters.add(Count.CONNECTIONS_TAKEN);
+        boolean full = connections.size() >= most && !makeRoom();
+        counters.add(full ? Count.CONNECTIONS_TURNED_AWAY : Count.CONNECTIONS_TAKEN);
         CallerConnection c = new CallerConnection(vertx, socket, exchange, counters, this::closed);
         connections.add(c);
-        if (lastCall) {
+        if (full || lastCall) {
+            // Not closed at once: its first ticket may have come with it, and would be lost. The gate holds back who
+            // comes after the few that there is room for beyond the table.
             c.lastCall();
         }
     }
@@ -79,7 +90,12 @@
         CallerConnection least = connections.stream().filter(CallerConnection::vacant).min(LEAST_FIRST).orElse(null);
         if (least != null) {
             counters.add(Count.CONNECTIONS_GIVEN_WAY);
-            least.cut();
+            connections.remove(least);
+            if (least.proven()) {
+                least.hangUp(); // a ticket may be on its way just now
+            } else {
+                least.cut();
+            }
         }
         return least != null;
     }
@@ -94,24 +110,51 @@
 
     private void sweep() {
         long now = System.nanoTime();
+        if (now - lastSweep < LEAST_SWEEP_MS * 500_000) {
+            return; // after a pause those that were missed come all at once, before anything is read
+        }
+        lastSweep = now;
         List.copyOf(connections).forEach(c -> {
-            c.closeIfDumb(now);
-            if (idle < Double.POSITIVE_INFINITY) {
-                c.closeIfIdle(idle, now);
+            c.closeIfDumb();
+            if (lastCall) {
+                c.closeIfIdle(0, TOLD_AT_LAST, now);
+            } else if (idle < Double.POSITIVE_INFINITY) {
+                c.closeIfIdle(idle, TOLD, now);
             }
         });
         long tooMany = connections.size() - Math.round(most * FILLED);
         if (tooMany > 0) {
             connections.stream().filter(CallerConnection::vacant).sorted(LEAST_FIRST).limit(tooMany).toList()
-                    .forEach(c -> c.closeIfIdle(LEAST_IDLE, now));
+                    .forEach(c -> c.closeIfIdle(LEAST_IDLE, TOLD, now));
         }
     }
 
     @Override public void lastCall() {
         lastCall = true;
-        // Closed outright, the server would cut the open tickets of all its connections.
-        server.shutdown(LONGEST_SHUTDOWN_S, TimeUnit.SECONDS);
         new ArrayList<>(connections).forEach(CallerConnection::lastCall);
+        stopListening(true);
+    }
+
+    /**
+     * Whoever the system has taken for this server already would be reset with its ticket unread: where the gate holds
+     * newcomers back, they are let in first, as those in there leave.
+     *
+     * @param wasOpen whether the gate was open a look ago: who was held back needs a moment to come in
+     */
+    private void stopListening(boolean wasOpen) {
+        boolean open = !heldBack.getAsBoolean();
+        if (!ended && !(open && wasOpen)) {
+            vertx.setTimer(LOOK_MS, id -> stopListening(open));
+        } else {
+            // Closed outright, the server would cut the open tickets of all its connections.
+            server.shutdown(LONGEST_SHUTDOWN_S, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Nothing that comes from here on is passed on; what was written goes out before the connections end. */
+    void end() {
+        ended = true;
+        new ArrayList<>(connections).forEach(CallerConnection::hangUp);
     }
 
     @Override public int connections() {
--- a/src/main/java/topazladder/net/Service.java
+++ b/src/main/java/topazladder/net/Service.java
@@ -42,6 +42,8 @@
     private static final int OTHER_DESCRIPTORS = 128;
     /** Accepted, and not yet known to the event loop. */
     private static final int NEWCOMERS = 24;
+    /** For the last words to callers that stayed to the end, and for theirs to be read away: the kill is near. */
+    private static final long ENDING_MS = 40;
     /** The status of an instance that went out as its hall agreed, to be started again in whatever version is due. */
     private static final int AGREED = 75;
     /** One in so many descriptors may be a connection to the index. */
@@ -71,12 +73,13 @@
         this.exit = exit;
         int toIndex = Math.max(1, terms.sockets() / INDEX_PART);
         int toCallers = Math.max(1, terms.sockets() - OTHER_DESCRIPTORS - toIndex);
-        vertx = Vertx.builder().withTransport(new AcceptGate(toCallers + NEWCOMERS))
+        AcceptGate gate = new AcceptGate(toCallers + NEWCOMERS);
+        vertx = Vertx.builder().withTransport(gate)
                 .with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
         vertx.exceptionHandler(this::fault);
-        callers = new CallerServer(vertx, toCallers, counters);
+        callers = new CallerServer(vertx, toCallers, gate::shut, counters);
         runtime = new RuntimeLink(vertx, terms.runtime(), counters);
         index = new IndexLink(vertx, terms.index(), toIndex, counters);
         control = new ControlPlane(vertx, terms.control(), terms.name());
@@ -174,6 +177,9 @@
             onLoop(() -> {
                 counters.add(Count.CONFIGURATIONS_READ);
                 LOG.info("{} reads its configuration anew", terms.name());
+                if (!read.alikeButForAddresses(terms)) {
+                    LOG.warn("the configuration differs in more than addresses: that holds from the next start on");
+                }
                 runtime.move(read.runtime());
                 index.move(read.index());
                 control.move(read.control());
@@ -225,12 +231,22 @@
 
     private void exit() {
         tellCounters();
+        boolean left = callers.connections() > 0;
+        callers.end();
         closeParts(parts.iterator(), () -> {
             runtime.close();
-            vertx.close().onComplete(v -> exit.accept(status));
+            if (left) {
+                vertx.setTimer(ENDING_MS, id -> close());
+            } else {
+                close();
+            }
         });
     }
 
+    private void close() {
+        vertx.close().onComplete(v -> exit.accept(status));
+    }
+
     private static void closeParts(Iterator<Part> left, Runnable then) {
         if (left.hasNext()) {
             left.next().close(() -> closeParts(left, then));
--- /dev/null
+++ b/src/test/java/topazladder/net/CallerServerTest.java
@@ -0,0 +1,223 @@
+package topazladder.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import topazladder.Frames;
+import topazladder.Stub;
+import topazladder.config.ServiceTerms.Address;
+import topazladder.config.Terms;
+import topazladder.service.Counters;
+import topazladder.service.Counters.Count;
+import topazladder.service.Exchange;
+import topazladder.service.RuntimePort;
+
+/** The callers' side alone; its event loop is held while bytes come, so that they lie unread in the instant of an end. */
+@Timeout(60)
+class CallerServerTest {
+    private static final String SETTINGS = """
+            Classes.count=1
+            Classes.0.Name=read
+            Classes.0.Idempotency=safe
+            Classes.0.DeadlineNs=5000000000
+            Extra.Cores=2
+            Extra.MemoryKb=100000
+            """;
+
+    private static final int GATE = 8;
+
+    private final Counters counters = new Counters();
+    private Vertx vertx;
+    private CallerServer server;
+    private Exchange exchange;
+    private final CountDownLatch asked = new CountDownLatch(1);
+    private int port;
+
+    @BeforeEach
+    void listen() throws Exception {
+        AcceptGate gate = new AcceptGate(GATE);
+        vertx = Vertx.builder().withTransport(gate).with(new VertxOptions().setEventLoopPoolSize(1)).build();
+        server = new CallerServer(vertx, GATE, gate::shut, counters);
+        exchange = new Exchange(() -> System.currentTimeMillis() / 1000.0, Terms.ofLines(SETTINGS), silent(),
+                null, server, null, counters);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        CountDownLatch up = new CountDownLatch(1);
+        vertx.runOnContext(v -> server.listen(new Address("127.0.0.1", port), exchange).onComplete(s -> up.countDown()));
+        up.await();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        vertx.close().onComplete(v -> over.countDown());
+        assertThat(over.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void ticketThatLiesUnreadAsTheInstanceEndsIsNeverTakenInAndResetsNothing() throws Exception {
+        try (Stub stub = answeredOnce()) {
+            unreadAs(stub, Frames.ticket(2, "00000000000000bb", "read"), CallerServer::end);
+            assertThat(stub.hear()).isEqualTo("48 on 0");
+            assertThat(stub.hear()).isEqualTo("closed");
+            assertThat(stub.wasReset()).isFalse();
+            assertThat(counters.of(Count.TICKETS_TAKEN_IN)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void halfATicketThatLiesUnreadAsTheInstanceEndsResetsNothing() throws Exception {
+        try (Stub stub = answeredOnce()) {
+            byte[] ticket = Frames.ticket(2, "00000000000000bb", "read");
+            unreadAs(stub, Arrays.copyOf(ticket, ticket.length / 2), CallerServer::end);
+            assertThat(stub.hear()).isEqualTo("48 on 0");
+            assertThat(stub.hear()).isEqualTo("closed");
+            assertThat(stub.wasReset()).isFalse();
+        }
+    }
+
+    @Test
+    void ticketThatLiesUnreadAtTheLastCallIsAnswered() throws Exception {
+        try (Stub stub = answeredOnce()) {
+            unreadAs(stub, Frames.ticket(2, "00000000000000bb", "read"), CallerServer::lastCall);
+            assertThat(stub.hear()).isEqualTo("48 on 0");
+            assertThat(stub.hear()).isEqualTo("17 on 2 code 1");
+            assertThat(stub.hear()).isEqualTo("closed");
+            assertThat(stub.wasReset()).isFalse();
+        }
+    }
+
+    @Test
+    void callerThatClosedWhileItIsOwedAnAnswerIsFoundOut() throws Exception {
+        try (Stub stub = new Stub(port)) {
+            stub.send(Frames.frame(32, 1, Frames.fields("inner", "1")));
+            asked.await();
+        }
+        awaitConnections(0);
+    }
+
+    @Test
+    void callerThatSendsNoMoreIsStillAnswered() throws Exception {
+        try (Stub stub = new Stub(port)) {
+            stub.send(Frames.frame(32, 1, Frames.fields("inner", "1")));
+            asked.await();
+            stub.saysNoMore();
+            assertThat(stub.hear()).isEqualTo("48 on 0");
+            assertThat(stub.hear()).isEqualTo("48 on 0");
+            vertx.runOnContext(v -> exchange.verdict(1, true));
+            assertThat(stub.hear()).isEqualTo("33 on 1 code 0");
+            assertThat(stub.hear()).isEqualTo("closed");
+            assertThat(stub.wasReset()).isFalse();
+        }
+    }
+
+    @Test
+    void callerThatSpeaksRightAfterAPauseIsNotTakenForSilent() throws Exception {
+        try (Stub stub = new Stub(port)) {
+            awaitConnections(1);
+            // The machine stands still for longer than one may say nothing; all looks that were missed come at once.
+            CountDownLatch over = new CountDownLatch(1);
+            vertx.runOnContext(v -> {
+                for (long end = System.nanoTime() + 2_500_000_000L; System.nanoTime() < end;) {
+                    LockSupport.parkNanos(end - System.nanoTime());
+                }
+                vertx.setTimer(50, id -> over.countDown());
+            });
+            over.await();
+            stub.send(Frames.ticket(1, "00000000000000aa", "read"));
+            assertThat(stub.hear()).isEqualTo("17 on 1 code 1");
+        }
+    }
+
+    @Test
+    void callersWhomTheSystemHoldsBehindAFullGateAtTheLastCallAreAnswered() throws Exception {
+        List<Stub> inside = new ArrayList<>();
+        for (int i = 0; i < GATE; i++) {
+            inside.add(new Stub(port).send(Frames.frame(32, 1, Frames.fields("inner", "1"))));
+            awaitConnections(i + 1);
+        }
+        asked.await();
+        try (Stub outside = new Stub(port)) {
+            outside.send(Frames.ticket(1, "00000000000000aa", "read"));
+            CountDownLatch told = new CountDownLatch(1);
+            vertx.runOnContext(v -> {
+                server.lastCall();
+                told.countDown();
+            });
+            told.await();
+            for (Stub stub : inside) {
+                stub.close();
+            }
+            assertThat(outside.hear()).isEqualTo("48 on 0");
+            assertThat(outside.hear()).isEqualTo("17 on 1 code 1");
+        }
+    }
+
+    private void awaitConnections(int count) throws Exception {
+        for (int is = -1; is != count;) {
+            CompletableFuture<Integer> now = new CompletableFuture<>();
+            vertx.runOnContext(v -> now.complete(server.connections()));
+            is = now.get();
+        }
+    }
+
+    /** A runtime that never says whether work gets done. */
+    private RuntimePort silent() {
+        return new RuntimePort() {
+            @Override public void start(String ref, String offering, byte[] body) {
+                throw new AssertionError("nothing is started before the runtime is up");
+            }
+
+            @Override public void give(String ref, byte[] reply) { }
+
+            @Override public void omit(String ref, long notice) { }
+
+            @Override public void askGauges() { }
+
+            @Override public void askWhetherWorkGetsDone(long tag) {
+                asked.countDown();
+            }
+        };
+    }
+
+    private Stub answeredOnce() throws Exception {
+        Stub stub = new Stub(port);
+        stub.send(Frames.ticket(1, "00000000000000aa", "read"));
+        assertThat(stub.hear()).isEqualTo("17 on 1 code 1");
+        return stub;
+    }
+
+    /** Bytes come while the event loop is held, and what ends it is done before any of them is read. */
+    private void unreadAs(Stub stub, byte[] bytes, Consumer<CallerServer> ends) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch sent = new CountDownLatch(1);
+        vertx.runOnContext(v -> { // there is one event loop, on which the sockets are read too
+            held.countDown();
+            try {
+                sent.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            ends.accept(server);
+        });
+        held.await();
+        stub.send(bytes);
+        sent.countDown();
+    }
+}
