Refuse settings that are missing, unknown, zero, huge or contradict each other, by their key

Need: another customer's settings must end the start with one line, or hold; none may fail later or be taken for something else. The settings of DeliveryTest had a keyed class without a window and have one now. PackedProgramIT: a notice while the configuration is still read ends the program in order (a pipe holds it there).

--- a/src/main/java/topazladder/config/ServiceTerms.java
+++ b/src/main/java/topazladder/config/ServiceTerms.java
@@ -27,6 +27,9 @@
 public record ServiceTerms(String name, Address listen, Address runtime, Address control, Address index,
                            long seed, double stopAfter, int sockets, Terms terms) {
 
+    /** A day: past any supervisor's patience. */
+    private static final double LONGEST_STOP_MS = 86_400_000;
+
     /** A numeric address: there are no names to resolve. */
     public record Address(String host, int port) {
 
@@ -79,11 +82,17 @@
                 Address.of("control", word(json, "control", null)),
                 json.getValue("index") == null ? null : Address.of("index", word(json, "index", null)),
                 seed(word(json, "seed", "0")),
-                number(json, "stop_ms", null, 0) / 1000,
-                (int) number(limits, "sockets", 1024, 1),
+                number(json, "stop_ms", null, 0, LONGEST_STOP_MS) / 1000,
+                (int) number(limits, "sockets", 1024, 1, Integer.MAX_VALUE),
                 settings(settings));
     }
 
+    /** Whether nothing but addresses differs, which is all that a running instance can take from a new file. */
+    public boolean alikeButForAddresses(ServiceTerms other) {
+        return name.equals(other.name) && listen.equals(other.listen) && stopAfter == other.stopAfter
+                && sockets == other.sockets && terms.map().equals(other.terms.map());
+    }
+
     private static Terms settings(Map<String, String> settings) {
         try {
             return new Terms(settings);
@@ -133,9 +142,12 @@
         throw new BadTerms(key + (value == null ? " is missing" : " should be text: " + value));
     }
 
-    private static double number(JsonObject json, String key, Number other, double least) {
+    private static double number(JsonObject json, String key, Number other, double least, double most) {
         Object value = json.getValue(key) == null ? other : json.getValue(key);
         if (value instanceof Number n && n.doubleValue() >= least) {
+            if (n.doubleValue() > most) {
+                throw new BadTerms(key + " should be a number of at most " + (long) most + ": " + value);
+            }
             return n.doubleValue();
         }
         throw new BadTerms(key + (value == null ? " is missing"
--- a/src/main/java/topazladder/config/Terms.java
+++ b/src/main/java/topazladder/config/Terms.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import topazladder.ticket.Customer;
 import topazladder.ticket.Offering;
 
@@ -44,6 +46,17 @@
             "Safety.OverloadForNs", "crowd-span",
             "TickNs", "tick");
 
+    /** Where a number stands in place of one of these, or one of these in place of a number, the module would fail. */
+    private static final Map<String, Set<String>> WORDS = Map.of("Extra.Below", Set.of("common", "next_hop", "none"),
+            "Extra.Halt", Set.of("none", "drop", "pause"), "Extra.Say", Set.of("min_rank", "tokens", "bias", "none"));
+    private static final Set<String> YES_OR_NO = Set.of("Extra.Cold", "Extra.FullChecks", "Extra.Readiness",
+            "PolicyLimits.RetryAfter");
+    /** Seconds, thirty days: past all that a server is told of; a timer set for longer would never come. */
+    private static final double LONGEST = 30 * 86_400;
+    /** Past any machine, and any list of classes or tenants. */
+    private static final double MOST = 1e12;
+    private static final int MOST_ITEMS = 10_000;
+
     private static final Map<String, String> GAUGES = names(
             "core_use", "core-use",
             "on_cores", "on-cores",
@@ -75,8 +88,8 @@
         lines = settings;
         String names = lines.getOrDefault("Extra.OwnStats", "");
         gauges = Arrays.stream(names.split(",")).map(g -> GAUGES.getOrDefault(g, g)).toList();
-        required("Extra.Cores");
-        required("Extra.MemoryKb");
+        above0("Extra.Cores", required("Extra.Cores"));
+        above0("Extra.MemoryKb", required("Extra.MemoryKb"));
         readOfferings();
         readCustomers();
         NAMES.forEach((path, name) -> {
@@ -108,14 +121,25 @@
     }
 
     private void readOfferings() {
-        int count = (int) required("Classes.count");
+        int count = items("Classes.count", (int) required("Classes.count"));
+        if (count == 0) {
+            throw new BadTerms("Classes should hold at least one class");
+        }
         String[] calls = lines.getOrDefault("Extra.CallsByClass", "").split(",");
         String[] poorer = lines.getOrDefault("Extra.ClassSkipWorth", "").split(",");
         for (int i = 0; i < count; i++) {
             String at = "Classes." + i + ".";
-            double outer = required(at + "DeadlineNs");
-            offerings.add(new Offering(lines.getOrDefault(at + "Name", "offering-" + i),
-                    repeats(at + "Idempotency"), optional(at + "TargetNs", outer), outer,
+            double outer = above0(at + "DeadlineNs", required(at + "DeadlineNs"));
+            String name = lines.getOrDefault(at + "Name", "offering-" + i);
+            if (offerings.stream().anyMatch(o -> o.name().equals(name))) {
+                throw new BadTerms(at + "Name is given twice: " + name);
+            }
+            Offering.Repeats repeats = repeats(at + "Idempotency");
+            if (repeats == Offering.Repeats.FINGERPRINTED) {
+                // Without a window nothing would be remembered, and each repeat would run.
+                above0(at + "WindowNs", required(at + "WindowNs"));
+            }
+            offerings.add(new Offering(name, repeats, optional(at + "TargetNs", outer), outer,
                     optional(at + "Importance", 1), optional(at + "LateWorth", 0),
                     optional(at + "WindowNs", 0), i < calls.length && calls[i].equals("true"),
                     i < poorer.length && !poorer[i].isEmpty()
@@ -124,11 +148,14 @@
     }
 
     private void readCustomers() {
-        int count = (int) optional("Orgs.count", 0);
+        int count = items("Orgs.count", (int) optional("Orgs.count", 0));
         for (int i = 0; i < count; i++) {
             String at = "Orgs." + i + ".";
-            customers.add(new Customer(lines.getOrDefault(at + "Name", "customer-" + i),
-                    optional(at + "Share", 0), optional(at + "QuotaPerS", 0)));
+            String name = lines.getOrDefault(at + "Name", "customer-" + i);
+            if (customers.stream().anyMatch(c -> c.name().equals(name))) {
+                throw new BadTerms(at + "Name is given twice: " + name);
+            }
+            customers.add(new Customer(name, optional(at + "Share", 0), optional(at + "QuotaPerS", 0)));
         }
     }
 
@@ -165,15 +192,42 @@
         } catch (NumberFormatException e) {
             throw new BadTerms(path + " should be a number: " + value);
         }
-        return path.endsWith("Ns") ? n / 1e9 : n;
+        boolean time = path.endsWith("Ns");
+        if (!(n >= 0 && n <= (time ? LONGEST * 1e9 : MOST))) {
+            throw new BadTerms(path + " should be from 0 to " + (time ? "30 days" : "10^12") + ": " + value);
+        }
+        return time ? n / 1e9 : n;
+    }
+
+    private static double above0(String path, double n) {
+        if (n <= 0) {
+            throw new BadTerms(path + " should be above 0");
+        }
+        return n;
+    }
+
+    private static int items(String path, int count) {
+        if (count > MOST_ITEMS) {
+            throw new BadTerms(path + " should be at most " + MOST_ITEMS + ": " + count);
+        }
+        return count;
     }
 
     private static Object plain(String path, String value) {
-        if (value.equals("true") || value.equals("false")) {
+        if (YES_OR_NO.contains(path)) {
+            if (!value.equals("true") && !value.equals("false")) {
+                throw new BadTerms(path + " should be true or false: " + value);
+            }
             return Boolean.valueOf(value);
         }
-        boolean word = path.equals("Extra.Below") || path.equals("Extra.Halt") || path.equals("Extra.Say");
-        return word ? value : (Object) number(path, value);
+        if (!WORDS.containsKey(path)) {
+            return number(path, value);
+        }
+        if (!WORDS.get(path).contains(value)) {
+            throw new BadTerms(path + " should be one of " + String.join(", ", new TreeSet<>(WORDS.get(path)))
+                    + ": " + value);
+        }
+        return value;
     }
 
     private static Map<String, String> names(String... pairs) {
--- a/src/test/java/topazladder/PackedProgramIT.java
+++ b/src/test/java/topazladder/PackedProgramIT.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -124,14 +125,32 @@
         assertThat(calls).filteredOn(c -> c.contains("sa_family=AF_UNIX") && c.endsWith("= 0")).isEmpty();
     }
 
+    @Test
+    void noticeWhileItsConfigurationIsStillReadEndsItInOrder() throws Exception {
+        Path fifo = folder.resolve("config");
+        Process made = new ProcessBuilder("mkfifo", fifo.toString()).start();
+        assertThat(made.waitFor(20, TimeUnit.SECONDS) && made.exitValue() == 0).isTrue();
+        Process early = start(folder.resolve("log"), List.of(), fifo, "serve");
+        try (OutputStream opened = Files.newOutputStream(fifo)) { // once the program has opened its end
+            early.destroy();
+            assertThat(early.waitFor(20, TimeUnit.SECONDS)).isTrue();
+        }
+        assertThat(early.exitValue()).isZero();
+        assertThat(folder.resolve("log")).isEmptyFile();
+    }
+
     private Process start(Path log, List<String> flags, String... command) throws IOException {
+        return start(log, flags, Path.of("deploy", "rehearsal.json").toAbsolutePath(), command);
+    }
+
+    private Process start(Path log, List<String> flags, Path config, String... command) throws IOException {
         List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Dvertx.disableDnsResolver=true"));
         line.addAll(flags);
         line.addAll(List.of("-jar", JAR.toString()));
         line.addAll(List.of(command));
         ProcessBuilder builder = new ProcessBuilder(line);
-        builder.environment().put("GW_CONFIG", Path.of("deploy", "rehearsal.json").toAbsolutePath().toString());
+        builder.environment().put("GW_CONFIG", config.toString());
         // A port that is free now: the file's own may be some connection's other end by chance.
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             builder.environment().put("GW_LISTEN", "127.0.0.1:" + free.getLocalPort());
--- a/src/test/java/topazladder/delivery/DeliveryTest.java
+++ b/src/test/java/topazladder/delivery/DeliveryTest.java
@@ -34,6 +34,7 @@
             Classes.0.DeadlineNs=5000000000
             Classes.1.Name=place
             Classes.1.Idempotency=keyed
+            Classes.1.WindowNs=12000000000
             Classes.1.DeadlineNs=5000000000
             Classes.1.Importance=10
             Orgs.count=1
