--- a/src/test/java/topazladder/EndingsTest.java
+++ b/src/test/java/topazladder/EndingsTest.java
@@ -2,6 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -263,6 +268,37 @@
         }
     }
 
+    @Test
+    void indexThatIsSlowToDialCostsItsOwnCallAlone() throws Exception {
+        runtime.say("ready LOADED 3600000\r\n");
+        List<Socket> waiting = new ArrayList<>();
+        try (Stub stub = up(); ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            // Nobody accepts, and the system has room for no more: whoever dials now hears nothing.
+            for (boolean room = true; room;) {
+                Socket one = new Socket();
+                waiting.add(one);
+                try {
+                    one.connect(slow.getLocalSocketAddress(), 200);
+                } catch (SocketTimeoutException e) {
+                    room = false;
+                }
+            }
+            service.reload(() -> terms("", runtime.address(), "127.0.0.1:" + slow.getLocalPort()));
+            stub.send(Frames.ticket(1, A, "check"), Frames.ticket(2, B, "read"));
+            hears("start " + A + " check 4", 4, "body");
+            hears("start " + B + " read 4", 4, "body");
+            runtime.say("wants 1 " + A + " 1\r\nx\r\nend 2 " + B + " PASS 9 2\r\nr2\r\n");
+            assertThat(stub.hear()).isEqualTo("17 on 2 code 0 r2");
+            assertThat(runtime.hear()).isEqualTo("omit " + A + " 1");
+            runtime.say("end 3 " + A + " PASS 9 2\r\nr1\r\n");
+            assertThat(stub.hear()).isEqualTo("17 on 1 code 0 r1");
+        } finally {
+            for (Socket one : waiting) {
+                one.close();
+            }
+        }
+    }
+
     @Test
     void newcomerIsAnsweredThoughAllInTheTableAreOwedSomething() throws Exception {
         stop();
--- a/src/test/java/topazladder/ServiceBench.java
+++ b/src/test/java/topazladder/ServiceBench.java
@@ -63,6 +63,10 @@
     }
 
     ServiceTerms terms(String extra, String runtimeAt) {
+        return terms(extra, runtimeAt, index.address());
+    }
+
+    ServiceTerms terms(String extra, String runtimeAt, String indexAt) {
         return ServiceTerms.of("""
                 {"name":"n1","listen":"127.0.0.1:%d","runtime":"%s","control":"127.0.0.1:%d","index":"%s",
                  "seed":"1","stop_ms":800,"limits":{"sockets":%d},"settings":{"Classes":[
@@ -73,7 +77,7 @@
                  "Extra":{%s"Cores":4,"MemoryKb":100000,"Below":"next_hop","CallsByClass":[true,true,true],
                  "ClassSkipWorth":[0,0,0.5],"OwnStats":["core_use","on_cores"],"Say":"min_rank"},
                  "Orgs":[{"Name":"acme"}]}}""".formatted(port, runtimeAt, control,
-                index.address(), sockets, extra), Map.of());
+                indexAt, sockets, extra), Map.of());
     }
 
     /** A caller, once the instance says that it is good. */
