Count fingerprints of ended runs in the memory to the end of their windows again

The memory of remembered fingerprints was then not counted, and more was taken than there is room for. Change: the entry is taken out only where it is forgotten. Test: fingerprintsTakeMemoryToTheEndOfTheirWindowsAlsoOfRunsThatAreOver, tried on the program before this commit: fails.

--- a/src/main/java/topazladder/Brain.java
+++ b/src/main/java/topazladder/Brain.java
@@ -388,9 +388,9 @@
         }
 
         @Override void back(Case c) {
-            entries.remove(c);
             // Also past its window: a try of then that is read now would wait for a run that never was.
             if (!c.ran && c.rememberedUntil > 0) {
+                entries.remove(c);
                 rulings.add(Ruling.of(What.FORGET, c.ticket));
             }
         }
--- a/src/test/java/topazladder/BrainTest.java
+++ b/src/test/java/topazladder/BrainTest.java
@@ -59,6 +59,18 @@
         desk.matches("memory");
     }
 
+    @Test
+    void fingerprintsTakeMemoryToTheEndOfTheirWindowsAlsoOfRunsThatAreOver() {
+        Desk desk = new Desk().open();
+        desk.quietly(d -> {
+            for (int i = 0; i < 16; i++) {
+                d.at(i * 0.1).arrive("p" + i, Desk.PLACE).runEnds("p" + i, Ending.OK);
+            }
+        });
+        desk.at(1.7).arrive("a", Desk.PLACE).runEnds("a", Ending.OK).arrive("b", Desk.PLACE)
+                .until(13.5).arrive("c", Desk.PLACE).matches("remembered-after-the-run");
+    }
+
     @Test
     void drainRunsNothingPastTheGraceAndAnswersAllBeforeTheStop() {
         new Desk().open().arrive("a", PLACE).arrive("b", PLACE).leave(4).until(1.5)
