--- a/review/standins-2/Proxy.java
+++ b/review/standins-2/Proxy.java
@@ -17,7 +17,7 @@
 
     private final ServerSocket server;
     private final int to;
-    private final double delaySeconds;
+    private volatile double delaySeconds;
     private final Set<Socket> open = new LinkedHashSet<>();
     private volatile boolean refusing;
     private volatile boolean silent;
@@ -35,6 +35,11 @@
         return server.getLocalPort();
     }
 
+    /** What comes from now on takes so long, each way. */
+    void delay(double seconds) {
+        delaySeconds = seconds;
+    }
+
     /** Whether bytes go nowhere, and the connections stay open. */
     void silent(boolean is) {
         silent = is;
