Log how a consumer that leaves settles the deliveries it does not run

One line a delivery, queue, message id, redelivered, idempotency and outcome; the window bounds their number.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import topazladder.config.QueueSettings;
 import topazladder.config.QueueSettings.Route;
 import topazladder.config.SettingsReader;
@@ -34,6 +36,7 @@
  * none afterwards, as the broker then brings it again. It does no I/O.
  */
 public final class Consumer {
+    private static final Logger LOG = LoggerFactory.getLogger(Consumer.class);
     /** Set on what is dead-lettered: why. */
     static final String REASON = "x-topazladder-reason";
     /** Results that wait for the broker's confirmation. */
@@ -168,8 +171,7 @@
             // Its acknowledgement was lost on the way.
             acknowledge(o);
         } else if (leaving) {
-            settle(o, Outcomes.of(Status.REJECTED, m.requestClass().idempotency(), m.tries(), q.terms, true),
-                    "leaving");
+            settleLeaving(o, m.tries());
         } else if (d.redelivered() && unsafe(m, q.terms)) {
             settle(o, Outcomes.dead(Why.MAY_HAVE_RUN), "it came before, and nothing is known of it");
         } else {
@@ -401,15 +403,22 @@
                         || o.phase == Phase.IN_MODULE && o.inFlight != null
                                 && dispatcher.cancelIfNotStarted(o.inFlight);
                 if (unbegun) {
-                    settle(o,
-                            Outcomes.of(Status.REJECTED, o.mapped.requestClass().idempotency(), tries(o), q.terms,
-                                    true),
-                            "leaving");
+                    settleLeaving(o, tries(o));
                 }
             }
         }
     }
 
+    /** Settles one that this instance, which leaves, does not run; at most as many as the window are open then. */
+    private void settleLeaving(Open o, int tries) {
+        Idempotency idempotency = o.mapped.requestClass().idempotency();
+        Outcome outcome = Outcomes.of(Status.REJECTED, idempotency, tries, o.queue.terms, true);
+        LOG.info("broker delivery settled during shutdown queue={} message_id={} redelivered={} idempotency={}"
+                + " outcome={}", o.queue.terms.queue(), o.delivery.properties().messageId(), o.delivery.redelivered(),
+                idempotency, outcome.what());
+        settle(o, outcome, "leaving");
+    }
+
     /** To be called a few times a second. */
     public void look() {
         double now = clock.getAsDouble();
