Compute decisions with StrictMath, so that each processor decides the same

What was seen: all three digests of AdmissionControllerTraceTest failed on arm64, each time; they had been recorded on x86-64.

Cause: the last bits of Math.exp, log and pow are left to the processor. One stream of arrivals then leads to other numbers elsewhere, so that a trace of one machine can't be replayed on another, and two members that agree on something by such a number may not.

DeliveryTest's bound is 0.1 * 2^i as before, for which pow is exact.

Not run on x86-64 here.

--- a/src/main/java/topazladder/admission/AdmissionLevel.java
+++ b/src/main/java/topazladder/admission/AdmissionLevel.java
@@ -71,7 +71,7 @@
         nextUpdateAt = context.now() + updateSeconds;
         double before = cut;
         moveTowards(workFactor());
-        ranks.decay(Math.exp(-updateSeconds / context.shortestObjectiveSeconds()));
+        ranks.decay(StrictMath.exp(-updateSeconds / context.shortestObjectiveSeconds()));
         if (cut != before && context.settings().admissionLevelUnit() == AdmissionLevelUnit.MIN_RANK) {
             context.emit(new Decision.PostAdmissionLevel(cut));
         }
@@ -101,8 +101,8 @@
         if (completionRate <= 0 || concurrencyLimiter.isIdle() || waiting <= queueTarget) {
             return NO_LEVEL;
         }
-        double capacity = admitted.perSecond(context.now()) * Math.pow(2, previousCuts.size());
-        double factor = Math.log(capacity / completionRate * (waiting / queueTarget)) / Math.log(2);
+        double capacity = admitted.perSecond(context.now()) * StrictMath.pow(2, previousCuts.size());
+        double factor = StrictMath.log(capacity / completionRate * (waiting / queueTarget)) / StrictMath.log(2);
         return (int) Math.max(0, Math.round(factor));
     }
 }
--- a/src/main/java/topazladder/admission/DecayingRate.java
+++ b/src/main/java/topazladder/admission/DecayingRate.java
@@ -25,7 +25,7 @@
     /** Events per second; 0 at the time of creation. */
     double perSecond(double now) {
         decay(now);
-        double observedShare = 1 - Math.exp(-(now - startedAt) / spanSeconds);
+        double observedShare = 1 - StrictMath.exp(-(now - startedAt) / spanSeconds);
         return observedShare <= 0 ? 0 : weight / (spanSeconds * observedShare);
     }
 
@@ -35,7 +35,7 @@
     }
 
     private void decay(double now) {
-        weight *= Math.exp(-(now - decayedAt) / spanSeconds);
+        weight *= StrictMath.exp(-(now - decayedAt) / spanSeconds);
         decayedAt = now;
     }
 }
--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -232,7 +232,7 @@
         } else if (ok) {
             acknowledge(o);
         } else if (o.published < MOST_PUBLISHED) {
-            timers.schedule(FIRST_WAIT * Math.pow(2, o.published), () -> {
+            timers.schedule(FIRST_WAIT * StrictMath.pow(2, o.published), () -> {
                 if (o.phase == Phase.PUBLISHING) {
                     publish(o, o.what);
                 }
--- a/src/main/java/topazladder/disruption/ThroughputMeter.java
+++ b/src/main/java/topazladder/disruption/ThroughputMeter.java
@@ -64,7 +64,7 @@
 
     private void updateCapacity(double now, double span, double served) {
         if (!Double.isNaN(capacityAt)) {
-            capacity *= Math.pow(0.5, Math.max(0, now - capacityAt) / CAPACITY_HALVING_SECONDS);
+            capacity *= StrictMath.pow(0.5, Math.max(0, now - capacityAt) / CAPACITY_HALVING_SECONDS);
         }
         capacityAt = now;
         if (span >= WINDOW_SECONDS / 2) {
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -265,7 +265,7 @@
 
     private void load(double until, double rate) {
         if (time.getAsDouble() < until) {
-            time.schedule(-Math.log(1 - chance.nextDouble()) / rate, () -> {
+            time.schedule(-StrictMath.log(1 - chance.nextDouble()) / rate, () -> {
                 publish();
                 load(until, rate);
             });
--- a/src/main/java/topazladder/emulator/Traffic.java
+++ b/src/main/java/topazladder/emulator/Traffic.java
@@ -33,7 +33,7 @@
 
     /** Seconds to the next request. */
     public double gap(double rate) {
-        return -Math.log(1 - chance.nextDouble()) / rate;
+        return -StrictMath.log(1 - chance.nextDouble()) / rate;
     }
 
     public Wanted next() {
--- a/src/main/java/topazladder/endpoint/EjectionBackoff.java
+++ b/src/main/java/topazladder/endpoint/EjectionBackoff.java
@@ -9,6 +9,6 @@
 
     /** @param failedReturns times that the endpoint was tried again and ejected anew */
     public static double seconds(long failedReturns) {
-        return INITIAL_SECONDS * Math.pow(2, Math.min(MAX_DOUBLINGS, Math.max(0, failedReturns)));
+        return INITIAL_SECONDS * StrictMath.pow(2, Math.min(MAX_DOUBLINGS, Math.max(0, failedReturns)));
     }
 }
--- a/src/main/java/topazladder/endpoint/EndpointHealthTracker.java
+++ b/src/main/java/topazladder/endpoint/EndpointHealthTracker.java
@@ -43,7 +43,7 @@
 
     private void decay(double now) {
         if (!Double.isNaN(decayedAt) && now > decayedAt) {
-            double remaining = Math.pow(0.5, (now - decayedAt) / HALF_LIFE_SECONDS);
+            double remaining = StrictMath.pow(0.5, (now - decayedAt) / HALF_LIFE_SECONDS);
             tried *= remaining;
             failed *= remaining;
         }
--- a/src/main/java/topazladder/endpoint/SlowStart.java
+++ b/src/main/java/topazladder/endpoint/SlowStart.java
@@ -13,11 +13,11 @@
 
     /** Fraction of the usual load after that many seconds; at most 1. */
     public static double fraction(double seconds) {
-        return Math.min(1, INITIAL_FRACTION * Math.pow(2, Math.max(0, seconds) / DOUBLING_SECONDS));
+        return Math.min(1, INITIAL_FRACTION * StrictMath.pow(2, Math.max(0, seconds) / DOUBLING_SECONDS));
     }
 
     /** Seconds until the endpoint gets its full load. */
     public static double durationSeconds() {
-        return DOUBLING_SECONDS * Math.log(1 / INITIAL_FRACTION) / Math.log(2);
+        return DOUBLING_SECONDS * StrictMath.log(1 / INITIAL_FRACTION) / StrictMath.log(2);
     }
 }
--- a/src/main/java/topazladder/faults/Mutations.java
+++ b/src/main/java/topazladder/faults/Mutations.java
@@ -49,7 +49,7 @@
     }
 
     private static double seconds(RandomGenerator chance) {
-        return SHORTEST * Math.pow(LONGEST / SHORTEST, chance.nextDouble());
+        return SHORTEST * StrictMath.pow(LONGEST / SHORTEST, chance.nextDouble());
     }
 
     private static Fault changed(Fault f, int what, RandomGenerator chance, Schedule s) {
--- a/src/main/java/topazladder/faults/Schedule.java
+++ b/src/main/java/topazladder/faults/Schedule.java
@@ -64,7 +64,7 @@
                     : chance.nextInt(3) == 0 ? chance.nextInt(voters) : chance.nextInt(processes);
             last = who;
             int other = (who + 1 + chance.nextInt(processes - 1)) % processes;
-            double seconds = SHORTEST * Math.pow(LONGEST / SHORTEST, chance.nextDouble());
+            double seconds = SHORTEST * StrictMath.pow(LONGEST / SHORTEST, chance.nextDouble());
             double amount = 0;
             switch (kind) {
                 case WIPE -> {
--- a/src/main/java/topazladder/membership/Membership.java
+++ b/src/main/java/topazladder/membership/Membership.java
@@ -313,10 +313,10 @@
 
     /** Earlier the more members suspect independently; later the worse this member's own health is. */
     private double suspicionDeadline(Suspicion suspicion) {
-        double min = MIN_SUSPICION * Math.max(1, Math.log10(Math.max(1, size()))) * settings.probePeriodSeconds();
+        double min = MIN_SUSPICION * Math.max(1, StrictMath.log10(Math.max(1, size()))) * settings.probePeriodSeconds();
         double max = MAX_SUSPICION_FACTOR * min;
         double confirmations = settings.indirectProbeHelpers();
-        double confirmed = Math.min(1, Math.log(suspicion.accusers.size()) / Math.log(confirmations + 1));
+        double confirmed = Math.min(1, StrictMath.log(suspicion.accusers.size()) / StrictMath.log(confirmations + 1));
         return suspicion.startedAt + suspicion.extension + (max - (max - min) * confirmed) * (1 + healthScore / 2.0);
     }
 
@@ -493,7 +493,7 @@
     // ---- dissemination
 
     private void enqueueUpdate(String name) {
-        pendingUpdates.put(name, (int) Math.ceil(RETRANSMIT_FACTOR * Math.log10(size() + 9)));
+        pendingUpdates.put(name, (int) Math.ceil(RETRANSMIT_FACTOR * StrictMath.log10(size() + 9)));
     }
 
     /** This member's own status, and a bounded number of pending updates, those sent least often first. */
--- a/src/main/java/topazladder/peering/EstimateFetcher.java
+++ b/src/main/java/topazladder/peering/EstimateFetcher.java
@@ -184,7 +184,7 @@
         if (attempt != null) {
             failureCount++;
             int failuresOfPeer = failures.merge(attempt.peer, 1, Integer::sum);
-            double maxBackoff = Math.min(MAX_BACKOFF_SECONDS, BASE_BACKOFF_SECONDS * Math.pow(2, failureCount));
+            double maxBackoff = Math.min(MAX_BACKOFF_SECONDS, BASE_BACKOFF_SECONDS * StrictMath.pow(2, failureCount));
             backoffUntil = now + random.nextDouble() * maxBackoff;
             if (failuresOfPeer < MAX_FAILURES_OF_PEER) {
                 retryAt.put(attempt.peer, now + 2 * maxBackoff);
--- a/src/main/java/topazladder/peering/PeerRanking.java
+++ b/src/main/java/topazladder/peering/PeerRanking.java
@@ -34,6 +34,6 @@
         // Uniform in the open interval (0, 1): the logarithm of 0 is infinite, and that of 1 would divide by zero.
         double u = ((hash >>> 11) + 0.5) * 0x1.0p-53;
         double weight = !zone.isEmpty() && zone.equals(peer.zone()) ? SAME_ZONE_WEIGHT : 1;
-        return -weight / Math.log(u);
+        return -weight / StrictMath.log(u);
     }
 }
--- a/src/main/java/topazladder/rig/PathRig.java
+++ b/src/main/java/topazladder/rig/PathRig.java
@@ -181,7 +181,7 @@
     private void arrive() {
         long due = System.nanoTime();
         while (!over) {
-            due += (long) (-Math.log(1 - arrivals.nextDouble()) / settings.rate() * 1e9);
+            due += (long) (-StrictMath.log(1 - arrivals.nextDouble()) / settings.rate() * 1e9);
             for (long left = due - System.nanoTime(); left > 0; left = due - System.nanoTime()) {
                 LockSupport.parkNanos(left);
             }
--- a/src/main/java/topazladder/rollout/CanaryAnalysis.java
+++ b/src/main/java/topazladder/rollout/CanaryAnalysis.java
@@ -83,10 +83,10 @@
             if (n < MIN_SAMPLES) {
                 return Double.POSITIVE_INFINITY;
             }
-            double l = -2 * Math.log(error);
-            double rho = (l + Math.log(l + 1)) / TIGHTEST_AT_SAMPLES;
+            double l = -2 * StrictMath.log(error);
+            double rho = (l + StrictMath.log(l + 1)) / TIGHTEST_AT_SAMPLES;
             double m = n * rho + 1;
-            return deviation() * Math.sqrt(2 * m / (n * (double) n * rho) * Math.log(Math.sqrt(m) / error));
+            return deviation() * Math.sqrt(2 * m / (n * (double) n * rho) * StrictMath.log(Math.sqrt(m) / error));
         }
     }
 
--- a/src/main/java/topazladder/warmstart/SharedEstimate.java
+++ b/src/main/java/topazladder/warmstart/SharedEstimate.java
@@ -48,7 +48,7 @@
 
     /** The samples that it still stands for: {@code weight * 0.5 ^ (age / half-life of the kind)}. */
     double weightAt(double now) {
-        return weight * Math.pow(0.5, Math.max(0, now - measuredAt) / TransferPolicy.of(kind).halfLife());
+        return weight * StrictMath.pow(0.5, Math.max(0, now - measuredAt) / TransferPolicy.of(kind).halfLife());
     }
 
     /** Whether its values are possible at all; a peer may send anything. */
