Dead-letter a redelivered message that may have run also while leaving

Cause: Consumer.delivered looked whether the instance leaves before it looked whether a redelivered message may have run. A copy on the delay route, which is how one that leaves passes on what never began, comes as new, and whoever gets it runs it.

Change: a redelivered message of which nothing is known is judged first, whether the instance leaves or not. A keyed one is handed back as before while leaving, as another instance may know its key. That closes it because no copy is made of a redelivered binding message any more.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -170,18 +170,18 @@
         } else if (d.redelivered() && remembered.isDone(d, m.tries(), now)) {
             // Its acknowledgement was lost on the way.
             acknowledge(o);
+        } else if (d.redelivered() && mayHaveRunUnknown(m, q.terms)) {
+            settleInDoubt(o);
         } else if (leaving) {
             settleLeaving(o, m.tries());
-        } else if (d.redelivered() && unsafe(m, q.terms)) {
-            settle(o, Outcomes.dead(Why.MAY_HAVE_RUN), "it came before, and nothing is known of it");
         } else {
             q.highestRank = Math.max(m.arrival().rank(), q.highestRank * 0.95);
             o.inFlight = dispatcher.dispatch(m.arrival(), o);
         }
     }
 
-    /** Whether it may have run elsewhere, or here before all that is remembered. */
-    private boolean unsafe(Mapped m, QueueSettings terms) {
+    /** Whether it may have run elsewhere, or here before all that is remembered, so that it must not run again. */
+    private boolean mayHaveRunUnknown(Mapped m, QueueSettings terms) {
         return switch (m.requestClass().idempotency()) {
             case RETRY_SAFE -> false;
             case AT_MOST_ONCE -> true;
@@ -191,6 +191,18 @@
         };
     }
 
+    /**
+     * A copy on the delay route comes as a new message, which whoever gets it runs: none is made of this one, whether
+     * this instance stays or leaves.
+     */
+    private void settleInDoubt(Open o) {
+        if (leaving && o.mapped.requestClass().idempotency() == Idempotency.IDEMPOTENT_BY_KEY) {
+            settleLeaving(o, o.mapped.tries()); // handed back as it is: another instance may know its key
+        } else {
+            settle(o, Outcomes.dead(Why.MAY_HAVE_RUN), "it came before, and nothing is known of it");
+        }
+    }
+
     /** All that is open will come again, on the next link. */
     public void linkLost() {
         queues.values().forEach(this::lost);
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -83,10 +83,13 @@
     private final Set<Long> done = new HashSet<>(); // a run of it passed
     private final List<Worker> workers = new ArrayList<>();
     private final SplittableRandom chance;
+    /** Of what happens beside the notice to leave, so that it moves no other draw. */
+    private final SplittableRandom besideLeaving;
     private long lastNumber;
 
     private DeliveryTrial(long seed) {
         chance = new SplittableRandom(seed);
+        besideLeaving = new SplittableRandom(~seed);
     }
 
     /** One instance with its machine, its dependency and its link. */
@@ -244,6 +247,9 @@
                 if (chance.nextBoolean()) {
                     vanish(at + chance.nextDouble() * 3, 0.2 + 3 * chance.nextDouble());
                 }
+                if (besideLeaving.nextBoolean()) {
+                    redeliverToOneThatLeaves(at);
+                }
             }
         }
         time.runUntil(start + LOAD_FOR + SETTLES);
@@ -361,6 +367,17 @@
         }
     }
 
+    /** What the other one had out is brought to the one that leaves, about as it leaves. */
+    private void redeliverToOneThatLeaves(double leavesAt) {
+        double slow = 0.02 + 0.1 * besideLeaving.nextDouble();
+        double cutAt = leavesAt - 2 * slow * besideLeaving.nextDouble();
+        note(cutAt, String.format(Locale.ROOT, "link of b breaks, and that of a takes %.2f s a message", slow));
+        time.schedule(cutAt, () -> {
+            workers.get(0).link.slow(slow);
+            workers.get(1).link.cut(0, 0);
+        });
+    }
+
     private void vanish(double at, double seconds) {
         note(at, String.format(Locale.ROOT, "the broker vanishes for %.1f s", seconds));
         time.schedule(at, () -> workers.forEach(w -> {
