Bound the memory of messages that have not come whole

What callers saw: hundreds of clients that write slowly, stop half way or send heads of many fields ended the process, and nobody was answered.

Cause: each connection held 4 KB from its first moment and up to twice what its message had so far, and nothing bounded the sum of them.

The links to runtime and index give back the buffer of a burst too.

--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -42,6 +42,7 @@
     private final Vertx vertx;
     private final NetSocket socket;
     private final Counters counters;
+    private final PartialMessageMemory partialMessages;
     private final Consumer<CallerConnection> onClosed;
     private final CallerFrameReader reader = new CallerFrameReader();
     private final CallerStreams streams;
@@ -53,10 +54,11 @@
     private boolean writeBlocked; // nothing more is read until what was written has gone out
 
     CallerConnection(Vertx vertx, NetSocket socket, RequestDispatcher dispatcher, Counters counters,
-            Consumer<CallerConnection> onClosed) {
+            PartialMessageMemory partialMessages, Consumer<CallerConnection> onClosed) {
         this.vertx = vertx;
         this.socket = socket;
         this.counters = counters;
+        this.partialMessages = partialMessages;
         this.onClosed = onClosed;
         streams = new CallerStreams(dispatcher, this);
         socket.setWriteQueueMaxSize(MAX_UNSENT_BYTES);
@@ -82,6 +84,9 @@
                 streams.accept(message);
             }
             messageTimeout.bytesRead(wholeMessage, !reader.isEmpty());
+            if (state == State.OPEN) {
+                partialMessages.update(this, reader.bufferedBytes(), wholeMessage);
+            }
         } catch (MalformedMessageException e) {
             endWithError(Count.CONNECTIONS_CLOSED_MALFORMED, e.getMessage());
         } catch (CallerProtocolException e) {
@@ -161,6 +166,7 @@
     void closeInOrder() {
         if (state == State.OPEN) {
             state = State.ENDING;
+            releaseUnread();
             requestDrain();
             HalfClose.shutdownOutput(socket);
             vertx.setTimer(CLOSE_LINGER_MILLIS, id -> socket.close());
@@ -182,6 +188,7 @@
         }
         counters.add(kind);
         state = State.ENDING;
+        releaseUnread();
         streams.failAll();
         write(CallerFrameEncoder.error(reason));
         HalfClose.shutdownOutput(socket);
@@ -191,6 +198,17 @@
         vertx.setTimer(ERROR_LINGER_MILLIS, id -> socket.close());
     }
 
+    /** Ends it because the start of its message takes memory that others need. */
+    void endForWantOfMemory() {
+        endWithError(Count.CONNECTIONS_CLOSED_OUT_OF_MEMORY, "no memory for the rest of a request");
+        releaseUnread(); // also where it is ending already
+    }
+
+    private void releaseUnread() {
+        reader.clear();
+        partialMessages.update(this, 0, false);
+    }
+
     /** Closes at once: nothing sound ever came on it. */
     void closeNow() {
         socket.close();
@@ -206,6 +224,7 @@
     private void closed() {
         if (state != State.CLOSED) {
             state = State.CLOSED;
+            releaseUnread();
             streams.abandonAll();
             onClosed.accept(this);
         }
--- a/src/main/java/topazladder/net/CallerServer.java
+++ b/src/main/java/topazladder/net/CallerServer.java
@@ -54,6 +54,8 @@
     private final NetServer server;
     /** Emptied as connections close. */
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private final PartialMessageMemory partialMessages =
+            new PartialMessageMemory(Runtime.getRuntime().maxMemory());
     private RequestDispatcher dispatcher;
     private double idleSeconds = Double.POSITIVE_INFINITY;
     private boolean draining;
@@ -82,7 +84,8 @@
     private void connected(NetSocket socket) {
         boolean full = connections.size() >= maxConnections && !evictOne();
         counters.add(full ? Count.CONNECTIONS_REJECTED : Count.CONNECTIONS_ACCEPTED);
-        CallerConnection connection = new CallerConnection(vertx, socket, dispatcher, counters, connections::remove);
+        CallerConnection connection =
+                new CallerConnection(vertx, socket, dispatcher, counters, partialMessages, connections::remove);
         connections.add(connection);
         if (full || draining) {
             // Not closed at once: its first request may have come with it, and would be lost. The accept gate holds
--- a/src/main/java/topazladder/net/codec/CallerFrameReader.java
+++ b/src/main/java/topazladder/net/codec/CallerFrameReader.java
@@ -42,6 +42,16 @@
         return bytesToSkip == 0 && received.size() == 0;
     }
 
+    /** The memory that unread bytes hold. */
+    public int bufferedBytes() {
+        return received.capacity();
+    }
+
+    /** Drops what was not read, as nothing more is to be read. */
+    public void clear() {
+        received.clear();
+    }
+
     /**
      * Returns the next whole message, or null until more bytes have come.
      *
--- a/src/main/java/topazladder/net/codec/LineReader.java
+++ b/src/main/java/topazladder/net/codec/LineReader.java
@@ -40,6 +40,11 @@
         received.add(bytes);
     }
 
+    /** The memory that unread bytes hold. */
+    int bufferedBytes() {
+        return received.capacity();
+    }
+
     /** Whether all that came was taken as whole messages. */
     public boolean isEmpty() {
         return words == null && received.size() == 0;
@@ -51,6 +56,14 @@
      * @throws MalformedMessageException if the bytes are no line; the connection can't be read any further
      */
     public Line next() throws MalformedMessageException {
+        Line line = read();
+        if (line == null) {
+            received.trim();
+        }
+        return line;
+    }
+
+    private Line read() throws MalformedMessageException {
         if (words == null && !readWords()) {
             return null;
         }
--- a/src/main/java/topazladder/net/codec/ReceiveBuffer.java
+++ b/src/main/java/topazladder/net/codec/ReceiveBuffer.java
@@ -4,38 +4,70 @@
 
 /**
  * Bytes that came and are no whole message yet, between {@code from} and {@code to}. The owner moves {@code from} past
- * what it has read; the space of that is used again.
+ * what it has read. Nothing is held where nothing is unread: hundreds of connections may each hold the start of a
+ * message.
  */
 final class ReceiveBuffer {
-    private static final int INITIAL_BYTES = 4096;
+    private static final byte[] EMPTY = {};
+    /** Room for what follows the start of a message in small pieces, in bytes. */
+    private static final int MAX_SPARE_BYTES = 2048;
 
-    byte[] bytes = new byte[INITIAL_BYTES];
+    byte[] bytes = EMPTY;
     int from;
     int to;
 
+    /** @param more is kept, and must not be changed from here on */
     void add(byte[] more) {
-        if (bytes.length - to < more.length) {
-            int unread = size();
-            byte[] target = unread + more.length <= bytes.length ? bytes : new byte[(unread + more.length) * 2];
-            System.arraycopy(bytes, from, target, 0, unread);
-            bytes = target;
+        if (size() == 0) {
+            bytes = more;
             from = 0;
-            to = unread;
+            to = more.length;
+            return;
+        }
+        if (bytes.length - to < more.length) {
+            moveTo(new byte[withSpare(size() + more.length)]);
         }
         System.arraycopy(more, 0, bytes, to, more.length);
         to += more.length;
     }
 
-    /** Gives back the memory of a large piece: hundreds of connections may each hold the start of a message. */
+    private static int withSpare(int needed) {
+        return needed + Math.min(needed, MAX_SPARE_BYTES);
+    }
+
+    private void moveTo(byte[] target) {
+        int unread = size();
+        System.arraycopy(bytes, from, target, 0, unread);
+        bytes = target;
+        from = 0;
+        to = unread;
+    }
+
+    /** Gives back the memory of what was read. */
     void trim() {
-        if (bytes.length > 2 * INITIAL_BYTES && size() <= INITIAL_BYTES) {
-            bytes = Arrays.copyOfRange(bytes, from, from + INITIAL_BYTES);
+        if (size() == 0) {
+            bytes = EMPTY;
+            from = 0;
+            to = 0;
+        } else if (bytes.length - size() > MAX_SPARE_BYTES) {
+            bytes = Arrays.copyOfRange(bytes, from, to);
             to -= from;
             from = 0;
         }
     }
 
+    /** Drops what is unread. */
+    void clear() {
+        from = to;
+        trim();
+    }
+
     int size() {
         return to - from;
     }
+
+    /** The memory that it holds, in bytes. */
+    int capacity() {
+        return bytes.length;
+    }
 }
--- a/src/main/java/topazladder/service/Counters.java
+++ b/src/main/java/topazladder/service/Counters.java
@@ -24,6 +24,8 @@
         CONNECTIONS_CLOSED_SILENT,
         /** Closed because the rest of a frame did not come. */
         CONNECTIONS_CLOSED_INCOMPLETE,
+        /** Closed because the start of a message took memory that others needed. */
+        CONNECTIONS_CLOSED_OUT_OF_MEMORY,
         CONNECTIONS_CLOSED_TOO_MANY_OPEN,
         CONNECTIONS_CLOSED_TOO_MANY_CANCELLED,
         CONNECTIONS_CLOSED_TOO_MANY_INVALID,
--- a/src/test/java/topazladder/CallerFrameBuilder.java
+++ b/src/test/java/topazladder/CallerFrameBuilder.java
@@ -8,7 +8,8 @@
 public final class CallerFrameBuilder {
     private static final int LENGTH_BYTES = 4;
     private static final int HEADER_BYTES = 5;
-    private static final int MAX_FIELDS_BYTES = 4096;
+    /** Of the name and of the value of one field. */
+    private static final int SIZES_BYTES = 3;
 
     private CallerFrameBuilder() {}
 
@@ -43,12 +44,14 @@
 
     /** Fields as a part of a payload, names and values in turn. */
     public static byte[] fields(String... pairs) {
-        ByteBuffer out = ByteBuffer.allocate(MAX_FIELDS_BYTES).put((byte) (pairs.length / 2));
+        int textBytes = Arrays.stream(pairs).mapToInt(text -> text.getBytes(StandardCharsets.UTF_8).length).sum();
+        ByteBuffer out = ByteBuffer.allocate(1 + pairs.length / 2 * SIZES_BYTES + textBytes)
+                .put((byte) (pairs.length / 2));
         for (int i = 0; i < pairs.length; i += 2) {
             out.put((byte) pairs[i].length()).put(pairs[i].getBytes(StandardCharsets.UTF_8))
                     .putShort((short) pairs[i + 1].length()).put(pairs[i + 1].getBytes(StandardCharsets.UTF_8));
         }
-        return Arrays.copyOf(out.array(), out.position());
+        return out.array();
     }
 
     /** Returns what a frame without its length says. */
--- /dev/null
+++ b/src/test/java/topazladder/HostileClientsIT.java
@@ -0,0 +1,53 @@
+package topazladder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import topazladder.HostileClients.Habit;
+
+/** The packed program between a sound caller and clients that harm it, these in a process of their own. */
+@Timeout(120)
+class HostileClientsIT {
+    /** The run line gives the heap a third of it. */
+    private static final int SMALL_MEMORY_MEGABYTES = 48;
+    private static final int RUN_MILLIS = 5;
+    private static final int CONNECTIONS = 700;
+    private static final double SECONDS = 5;
+    /** The deadline of the settings, its slack, and what the protocol adds on sockets. */
+    private static final double LATEST_ANSWER_MILLIS = 4600 + 80 + 50;
+
+    @TempDir
+    private Path folder;
+
+    // Starts of messages held by hundreds of connections filled the heap: the process ended, or answered nobody.
+    @ParameterizedTest
+    @EnumSource(names = {"SLOW_LARGE_REQUEST", "HALF_LARGE_REQUEST", "MANY_FIELDS_UNFINISHED"})
+    void messagesThatNeverComeWholeOnHundredsOfConnectionsLeaveASmallHeapRoom(Habit habit) throws Exception {
+        try (ServedProgram program = new ServedProgram(folder, SMALL_MEMORY_MEGABYTES, RUN_MILLIS)) {
+            SoundCaller.Report report = harm(program, habit);
+            assertThat(report.maxMillis()).isLessThan(LATEST_ANSWER_MILLIS);
+        }
+    }
+
+    private SoundCaller.Report harm(ServedProgram program, Habit habit) throws Exception {
+        try (SoundCaller caller = new SoundCaller(program.port)) {
+            Process clients = program.harm(habit, CONNECTIONS, SECONDS);
+            assertThat(clients.waitFor(60, TimeUnit.SECONDS)).isTrue();
+            SoundCaller.Report report = caller.finish();
+            String seen = report + " " + program.harmReport();
+            Files.writeString(Path.of("target", "hostile-clients.txt"), seen + System.lineSeparator(),
+                    StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+            assertThat(program.isAlive()).as(seen + "\n" + program.log()).isTrue();
+            assertThat(report.sent()).as(seen).isGreaterThan(50);
+            assertThat(report.unanswered()).as(seen).isZero();
+            return report;
+        }
+    }
+}
