Read at most 32 messages of a connection before others have their turn

What callers saw: while one client sent health checks, cancellations or requests that it took back at full speed on one connection, the others' answers came late, and some requests were turned away.

Cause: all whole messages of a read event were handled before anything else, and only requests are bounded by what may be open.

Evidence: each frame type, sound and unsound, 5 s on one connection, clients in a process of their own, a sound caller beside them. Deep health checks: median 644 ms, longest 2,797 ms, 90 of 201 served. Unread health checks: longest 1,850 ms, 288 of 310. Health checks: median 122 ms. A trial that wrote down long read events showed 6,554 messages of 65,536 bytes in one event of 133 to 165 ms, and up to three such events in a row before another connection's turn, with no collection in the log. Unsound frames did no harm, as their connection is closed.

Change: 32 messages a turn, as many as may be open; who has more stops reading for 1 ms and is counted (reads-deferred). What came is still read before the connection closes on a caller that sends no more.

--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -30,6 +30,10 @@
 
     /** Past this, nothing more is read from a caller that does not read its responses. */
     private static final int MAX_UNSENT_BYTES = 64 << 10;
+    /** Read in one turn of the event loop, which all connections share; as many as may be open on one of them. */
+    private static final int MAX_MESSAGES_PER_TURN = 32;
+    /** Until the next turn of a connection that had more. */
+    private static final long DEFERRED_READ_MILLIS = 1;
     /** Between the error and the close, for the caller to read why. */
     private static final long ERROR_LINGER_MILLIS = 300;
     /** What a caller sends before it has seen the end of this side is read away for so long. */
@@ -52,6 +56,8 @@
     private long drainRequestedNanos = NOT_YET;
     private boolean inputShutdown; // its caller sends no more
     private boolean writeBlocked; // nothing more is read until what was written has gone out
+    private boolean reading; // messages that came are being read
+    private boolean readDeferred; // nothing more is read until others had their turn
 
     CallerConnection(Vertx vertx, NetSocket socket, RequestDispatcher dispatcher, Counters counters,
             PartialMessageMemory partialMessages, Consumer<CallerConnection> onClosed) {
@@ -75,23 +81,70 @@
             return; // never dispatched: it could not be answered any more
         }
         lastUsedNanos = System.nanoTime();
+        reader.feed(bytes.getBytes());
+        if (!isReadingHeld()) {
+            readMessages();
+        }
+    }
+
+    /** Reads as many whole messages as one turn allows; the others go first before the next turn. */
+    private void readMessages() {
+        reading = true;
         try {
-            reader.feed(bytes.getBytes());
-            boolean wholeMessage = false;
-            for (CallerMessage message = reader.next(); message != null && state == State.OPEN; message =
-                    reader.next()) {
-                wholeMessage = true;
+            int messages = 0;
+            CallerMessage message = reader.next();
+            while (message != null) {
                 streams.accept(message);
+                messages++;
+                boolean goesOn = state == State.OPEN && messages < MAX_MESSAGES_PER_TURN && !writeBlocked;
+                message = goesOn ? reader.next() : null;
             }
-            messageTimeout.bytesRead(wholeMessage, !reader.isEmpty());
-            if (state == State.OPEN) {
-                partialMessages.update(this, reader.bufferedBytes(), wholeMessage);
-            }
+            messagesRead(messages);
         } catch (MalformedMessageException e) {
             endWithError(Count.CONNECTIONS_CLOSED_MALFORMED, e.getMessage());
         } catch (CallerProtocolException e) {
             endWithError(e.kind(), e.getMessage());
+        } finally {
+            reading = false;
+        }
+    }
+
+    private void messagesRead(int messages) {
+        if (state != State.OPEN) {
+            return;
+        }
+        if (messages == MAX_MESSAGES_PER_TURN && !reader.isEmpty()) {
+            deferReading();
         }
+        messageTimeout.bytesRead(messages > 0, !reader.isEmpty() && !isReadingHeld());
+        partialMessages.update(this, reader.bufferedBytes(), messages > 0);
+    }
+
+    /** By a timer, as a task that follows at once would run before the sockets of the others are looked at. */
+    private void deferReading() {
+        counters.add(Count.READS_DEFERRED);
+        readDeferred = true;
+        socket.pause();
+        vertx.setTimer(DEFERRED_READ_MILLIS, id -> {
+            readDeferred = false;
+            continueReading();
+        });
+    }
+
+    /** What had come before the end of its caller's side is read before the connection is closed. */
+    private void continueReading() {
+        if (state == State.OPEN && !isReadingHeld()) {
+            readMessages();
+        }
+        if (state == State.OPEN && !isReadingHeld()) {
+            socket.resume();
+            vertx.runOnContext(v -> closeIfFinished());
+        }
+    }
+
+    /** Whether messages that came may lie unread for now, through no fault of their caller's. */
+    private boolean isReadingHeld() {
+        return writeBlocked || readDeferred;
     }
 
     /** Writes the response to a stream, and closes if it was the last that a caller waited for that sends no more. */
@@ -113,11 +166,9 @@
         }
     }
 
-    /** What had come before the end of its caller's side is read first. */
     private void writeUnblocked() {
         writeBlocked = false;
-        socket.resume();
-        vertx.runOnContext(v -> closeIfFinished());
+        continueReading();
     }
 
     /** Asks for no new request; the caller closes once all is answered, or is closed on when idle. */
@@ -135,7 +186,7 @@
      */
     private void inputShutdown() {
         inputShutdown = true;
-        if (state != State.OPEN || streams.isEmpty() && !writeBlocked) {
+        if (state != State.OPEN || streams.isEmpty() && !isReadingHeld()) {
             socket.close();
         } else {
             write(CallerFrameEncoder.noNewRequest());
@@ -151,7 +202,7 @@
      * @param drainSeconds after the notification in which a caller that heeds it has closed by itself
      */
     void closeIfIdle(double idleSeconds, double drainSeconds, long nowNanos) {
-        boolean idle = streams.isEmpty() && nowNanos - lastUsedNanos > idleSeconds * NANOS_PER_SECOND;
+        boolean idle = isVacant() && nowNanos - lastUsedNanos > idleSeconds * NANOS_PER_SECOND;
         if (state != State.OPEN || !idle) {
             return;
         }
@@ -169,6 +220,7 @@
             releaseUnread();
             requestDrain();
             HalfClose.shutdownOutput(socket);
+            socket.resume();
             vertx.setTimer(CLOSE_LINGER_MILLIS, id -> socket.close());
         }
     }
@@ -216,7 +268,7 @@
     }
 
     private void closeIfFinished() {
-        if (inputShutdown && state == State.OPEN && !writeBlocked && streams.isEmpty()) {
+        if (inputShutdown && state == State.OPEN && streams.isEmpty() && !reading && !isReadingHeld()) {
             socket.close();
         }
     }
@@ -230,9 +282,9 @@
         }
     }
 
-    /** Whether no response is owed on it. */
+    /** Whether no response is owed on it, nor may be to what came and is not read yet. */
     boolean isVacant() {
-        return streams.isEmpty();
+        return streams.isEmpty() && !readDeferred;
     }
 
     Value value() {
--- a/src/main/java/topazladder/service/Counters.java
+++ b/src/main/java/topazladder/service/Counters.java
@@ -29,6 +29,8 @@
         CONNECTIONS_CLOSED_TOO_MANY_OPEN,
         CONNECTIONS_CLOSED_TOO_MANY_CANCELLED,
         CONNECTIONS_CLOSED_TOO_MANY_INVALID,
+        /** A connection had more messages than one turn of the event loop allows, and let others go first. */
+        READS_DEFERRED,
 
         // Requests and health checks as they arrive.
         REQUESTS_RECEIVED,
--- a/src/test/java/topazladder/net/CallerServerTest.java
+++ b/src/test/java/topazladder/net/CallerServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static topazladder.CallerFrameBuilder.deepHealthCheck;
+import static topazladder.CallerFrameBuilder.healthCheck;
 import static topazladder.CallerFrameBuilder.request;
 
 import io.vertx.core.Vertx;
@@ -115,6 +116,31 @@
         awaitConnections(0);
     }
 
+    // Messages past one turn's share wait in the connection, and the end of its caller's side must not drop them.
+    @Test
+    void requestsBehindManyMessagesAreAnsweredThoughTheirCallerSendsNoMore() throws Exception {
+        int checks = 500;
+        try (StandInCaller caller = new StandInCaller(port)) {
+            byte[][] frames = new byte[checks + 1][];
+            for (int i = 0; i < checks; i++) {
+                frames[i] = healthCheck(i + 1);
+            }
+            frames[checks] = request(checks + 1, "00000000000000cc", "read");
+            caller.send(frames);
+            caller.shutdownOutput();
+            int answers = 0;
+            String last = "";
+            for (String next = caller.receive(); !next.equals(StandInCaller.CLOSED); next = caller.receive()) {
+                answers += next.startsWith("48") ? 0 : 1;
+                last = next.startsWith("48") ? last : next;
+            }
+            assertThat(answers).isEqualTo(checks + 1);
+            assertThat(last).isEqualTo("17 on " + (checks + 1) + " code 1");
+            assertThat(caller.wasReset()).isFalse();
+            assertThat(counters.get(Count.READS_DEFERRED)).isPositive();
+        }
+    }
+
     @Test
     void callerThatSendsNoMoreIsStillAnswered() throws Exception {
         try (StandInCaller caller = new StandInCaller(port)) {
