Bound the heap that idempotency keys and requests in flight take

What callers saw: one client that sent requests under ever new, long keys on one connection ended the process, or left it with errors; others went without answers.

Cause: a key was kept as it came, for its window after its run, and nothing bounded the number of keys or of requests in flight by the heap of the process: the settings' figures are those of the runtime's memory.

Evidence: 31 requests open at most, keys of 14,000 characters, 5 s, heap 40 MB: OutOfMemoryError after 2,400 answers (2,400 times 14 kB is 33 MB), the process ended, 31 of 190 requests of a sound caller unanswered. New names of classes, tenants and fields in the same way: nothing grew. So it is what is remembered, not what is open and not what is unknown.

No key is forgotten early.

HostileClientsIT.everNewKeys... failed before with long keys (OutOfMemoryError in the log) and passes now; with short keys it passed before too. That the number of keys is bounded is IdempotencyStoreTest's.

--- a/src/main/java/topazladder/service/Counters.java
+++ b/src/main/java/topazladder/service/Counters.java
@@ -36,6 +36,8 @@
         REQUESTS_RECEIVED,
         /** In a sound frame, but with a field that is missing, impossible or unknown to the settings. */
         REQUESTS_INVALID,
+        /** Rejected unadmitted, as the heap had no room for another request or key. */
+        REQUESTS_OUT_OF_MEMORY,
         /** Marked as retries by their callers. */
         REQUESTS_RETRIES,
         /** Whose idempotency key was known here. */
--- a/src/main/java/topazladder/service/IdempotencyStore.java
+++ b/src/main/java/topazladder/service/IdempotencyStore.java
@@ -11,23 +11,15 @@
  * never dropped for want of memory, as their requests would run again; results are.
  */
 final class IdempotencyStore {
-    /** Of a small heap; the rest is for the requests in flight and their connections. */
-    private static final double MAX_HEAP_SHARE = 0.2;
-    private static final long MAX_RESULT_BYTES = 8 << 20;
-
     /** By key; emptied as keys are forgotten, and by {@link #sweep}. */
     private final Map<String, IdempotencyRecord> records = new HashMap<>();
     private final MessageDigest sha256;
-    private final long maxResultBytes;
+    private final HeapShares heap;
     private long resultBytes;
 
-    IdempotencyStore() {
-        this(Runtime.getRuntime().maxMemory());
-    }
-
-    /** A store for a heap of so many bytes. Results past its share are not kept, and their duplicates fail. */
-    IdempotencyStore(long heapBytes) {
-        maxResultBytes = Math.min(MAX_RESULT_BYTES, (long) (MAX_HEAP_SHARE * heapBytes));
+    /** A store for its shares of a heap. Results past theirs are not kept, and their duplicates fail. */
+    IdempotencyStore(HeapShares heap) {
+        this.heap = heap;
         try {
             sha256 = MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
@@ -84,7 +76,7 @@
     void endRun(IdempotencyRecord record, byte[] result) {
         record.endRun();
         boolean remembered = records.get(record.key()) == record;
-        if (remembered && result != null && resultBytes + result.length <= maxResultBytes) {
+        if (remembered && result != null && resultBytes + result.length <= heap.resultBytes()) {
             record.keepResult(result);
             resultBytes += result.length;
         }
@@ -102,6 +94,11 @@
         });
     }
 
+    /** Whether no further key fits, so that a request with one must not be admitted. */
+    boolean isFull() {
+        return records.size() >= heap.idempotencyKeys();
+    }
+
     int size() {
         return records.size();
     }
--- a/src/main/java/topazladder/service/InFlightRequests.java
+++ b/src/main/java/topazladder/service/InFlightRequests.java
@@ -8,12 +8,32 @@
 
 /** All requests that the admission controller has in flight; emptied after each event of those that it let go. */
 final class InFlightRequests {
+    /** The objects that one request is held by, from its connection to the admission controller. */
+    private static final int OBJECT_BYTES = 1500;
+
+    private final HeapShares heap;
     private final Map<String, InFlightRequest> byId = new HashMap<>();
     private final Map<Request, InFlightRequest> byRequest = new HashMap<>();
     /** Those that the current event concerns, which may be over after it. */
     private final List<InFlightRequest> affected = new ArrayList<>();
+    private long heldBytes;
+
+    InFlightRequests(HeapShares heap) {
+        this.heap = heap;
+    }
+
+    /** Whether the heap has room for another request. */
+    boolean fits(IncomingRequest incoming) {
+        return heldBytes + bytesOf(incoming) <= heap.inFlightBytes();
+    }
+
+    /** The body counts twice: it is held again in the command that starts the run. */
+    private static long bytesOf(IncomingRequest incoming) {
+        return OBJECT_BYTES + 2L * incoming.body().length;
+    }
 
     void add(InFlightRequest inFlight) {
+        heldBytes += bytesOf(inFlight.incoming());
         byId.put(inFlight.requestId(), inFlight);
         byRequest.put(inFlight.request(), inFlight);
         affected.add(inFlight);
@@ -62,7 +82,9 @@
 
     /** Removes the id of a request that is over; returns whether it was there. */
     boolean removeId(InFlightRequest inFlight) {
-        return byId.remove(inFlight.requestId(), inFlight);
+        boolean removed = byId.remove(inFlight.requestId(), inFlight);
+        heldBytes -= removed ? bytesOf(inFlight.incoming()) : 0;
+        return removed;
     }
 
     /** Removes what {@link #removeId} leaves of it. */
--- a/src/main/java/topazladder/service/RequestDispatcher.java
+++ b/src/main/java/topazladder/service/RequestDispatcher.java
@@ -35,8 +35,9 @@
     private final Map<String, RequestClass> requestClasses = new HashMap<>();
     private final Map<String, Tenant> tenants = new HashMap<>();
     private final double longestDeadlineSeconds;
-    private final InFlightRequests inFlightRequests = new InFlightRequests();
-    private final IdempotencyStore idempotencyStore = new IdempotencyStore();
+    private final HeapShares heap = HeapShares.of(Runtime.getRuntime().maxMemory());
+    private final InFlightRequests inFlightRequests = new InFlightRequests(heap);
+    private final IdempotencyStore idempotencyStore = new IdempotencyStore(heap);
     private final Responder responder;
     private final HealthChecks healthChecks;
     private final AdmissionEventQueue events;
@@ -136,12 +137,12 @@
     /**
      * Receives a request.
      *
-     * @return the request, for its caller to refer to; null if it was answered at once because it can't be decided on
+     * @return the request, for its caller to refer to; null if it was answered at once, because it can't be decided on
+     *     or the heap has no room for it
      */
     public InFlightRequest dispatch(IncomingRequest incoming, ResponseListener listener) {
         if (!events.isStarted()) {
-            counters.add(Count.REQUESTS_RECEIVED);
-            responder.rejectBeforeStart(listener);
+            rejectUnadmitted(listener);
             return null;
         }
         double waitedSeconds = clock.getAsDouble() - incoming.arrivedAtUnixSeconds();
@@ -161,12 +162,24 @@
             respondInvalid(listener);
             return null;
         }
+        boolean anotherKey = digest != null && record == null;
+        if (!inFlightRequests.fits(incoming) || anotherKey && idempotencyStore.isFull()) {
+            counters.add(Count.REQUESTS_OUT_OF_MEMORY);
+            rejectUnadmitted(listener);
+            return null;
+        }
         Request request = request(incoming, requestClass, waitedSeconds, record);
         InFlightRequest inFlight = new InFlightRequest(incoming, listener, request, record, digest);
         receive(inFlight);
         return inFlight;
     }
 
+    /** Rejects a request that the admission controller never hears of. */
+    private void rejectUnadmitted(ResponseListener listener) {
+        counters.add(Count.REQUESTS_RECEIVED);
+        responder.rejectUnadmitted(listener);
+    }
+
     private boolean isValid(IncomingRequest incoming, RequestClass requestClass, double waitedSeconds) {
         boolean needsKey = requestClass.idempotency() == Idempotency.IDEMPOTENT_BY_KEY;
         boolean knownTenant = tenants.isEmpty() || incoming.tenant() != null && tenants.containsKey(incoming.tenant());
--- a/src/main/java/topazladder/service/Responder.java
+++ b/src/main/java/topazladder/service/Responder.java
@@ -76,8 +76,8 @@
         inFlight.listener().onInvalidRequest(Response.failed(level));
     }
 
-    /** Responds to a request that was received before anything can run, so that its caller may go elsewhere. */
-    void rejectBeforeStart(ResponseListener listener) {
+    /** Responds to a request that was not admitted, so that its caller may go elsewhere. */
+    void rejectUnadmitted(ResponseListener listener) {
         counters.add(Count.REJECTED);
         listener.onResponse(Response.rejected(level, 0, false));
     }
--- a/src/test/java/topazladder/HostileClientsIT.java
+++ b/src/test/java/topazladder/HostileClientsIT.java
@@ -54,6 +54,16 @@
         }
     }
 
+    // Keys that were ever new filled the heap: each was kept for its window after its run, as long as it had come.
+    @ParameterizedTest
+    @EnumSource(names = {"LONG_KEYS_PACED", "KEYS_PACED"})
+    void everNewKeysAtFullSpeedOnOneConnectionLeaveTheHeapRoom(Habit habit) throws Exception {
+        try (ServedProgram program = new ServedProgram(folder, SMALL_MEMORY_MEGABYTES, 1)) {
+            SoundCaller.Report report = harm(program, habit);
+            assertThat(report.maxMillis()).isLessThan(LATEST_ANSWER_MILLIS);
+        }
+    }
+
     private SoundCaller.Report harm(ServedProgram program, Habit habit) throws Exception {
         try (SoundCaller caller = new SoundCaller(program.port)) {
             Process clients = program.harm(habit, CONNECTIONS, SECONDS);
@@ -63,6 +73,7 @@
             Files.writeString(Path.of("target", "hostile-clients.txt"), seen + System.lineSeparator(),
                     StandardOpenOption.CREATE, StandardOpenOption.APPEND);
             assertThat(program.isAlive()).as(seen + "\n" + program.log()).isTrue();
+            assertThat(program.log()).as(seen).doesNotContain("OutOfMemoryError");
             assertThat(report.sent()).as(seen).isGreaterThan(50);
             assertThat(report.unanswered()).as(seen).isZero();
             return report;
--- a/src/test/java/topazladder/service/IdempotencyStoreTest.java
+++ b/src/test/java/topazladder/service/IdempotencyStoreTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import topazladder.request.IdempotencyKeys;
 import topazladder.request.Request;
 import topazladder.request.RequestClass;
 import topazladder.request.RequestClass.Idempotency;
@@ -12,7 +13,7 @@
     private static final RequestClass PLACE =
             new RequestClass("place", Idempotency.IDEMPOTENT_BY_KEY, 2, 5, 10, 0, 12, true, 0);
 
-    private final IdempotencyStore store = new IdempotencyStore(10 << 20);
+    private final IdempotencyStore store = new IdempotencyStore(HeapShares.of(10 << 20));
 
     @Test
     void resultsTakeTheirShareOfASmallHeapAndNoMore() {
@@ -34,6 +35,26 @@
         assertThat(run("G", new byte[2 << 20]).result()).isNotNull();
     }
 
+    // Ever new keys at full speed filled the heap, as each is remembered for its window after its run.
+    @Test
+    void keysTakeTheirShareOfASmallHeapAndNoMore() {
+        int keys = 0;
+        while (!store.isFull()) {
+            run("F" + keys++, new byte[1]);
+        }
+        assertThat(keys).isEqualTo((10 << 20) * 15 / 100 / 1000);
+        store.sweep(1012 + 5.1, 5);
+        assertThat(store.isFull()).isFalse();
+    }
+
+    @Test
+    void longKeysAreRememberedByTheirDigest() {
+        String key = "0".repeat(14_000);
+        assertThat(run(key + "1", new byte[1]).key()).hasSize(64);
+        assertThat(store.find(IdempotencyKeys.shortened(key + "1"), 1000)).isNotNull();
+        assertThat(store.find(IdempotencyKeys.shortened(key + "2"), 1000)).isNull();
+    }
+
     private IdempotencyRecord run(String key, byte[] result) {
         IncomingRequest incoming =
                 new IncomingRequest(key, "place", "acme", 1000, false, 10, 0.5, key, new byte[4]);
