Run no request a second time that must run at most once and comes again

What callers saw: a client that left and came again with the same requests, under the same ids, had them run twice.

Cause: an id was known only while its request was in flight. A request that must run at most once and has no key had nothing by which it was known after its run.

Change: the id is remembered after a run that may have had its effect, for twice the longest deadline, after which a request that comes unchanged is refused as too old; one that comes again in that time is answered as failed. It no longer counts as a breach of the protocol. Cancellations of nothing count like others: behind hundreds of thousands of them, to which nothing is written, the end of a client went unseen until all was read.

HostileClientsIT.requestThatRanRunsNoSecondTime... failed before in both habits and passes now.

--- a/src/main/java/topazladder/net/CallerStreams.java
+++ b/src/main/java/topazladder/net/CallerStreams.java
@@ -85,10 +85,10 @@
 
     private void cancel(RequestCancelled cancelled) throws CallerProtocolException {
         PendingResponse response = pending.remove(cancelled.stream());
-        if (response == null) {
-            return;
+        if (response != null) {
+            abandon(response);
         }
-        abandon(response);
+        // One that takes back nothing may have crossed the response, so that no more come than were open.
         if (++cancellations > MAX_CANCELLATIONS) {
             throw new CallerProtocolException(Count.CONNECTIONS_CLOSED_TOO_MANY_CANCELLED,
                     "too many requests taken back");
--- a/src/main/java/topazladder/service/AdmissionEventQueue.java
+++ b/src/main/java/topazladder/service/AdmissionEventQueue.java
@@ -9,6 +9,7 @@
 import topazladder.admission.AdmissionController;
 import topazladder.request.Decision;
 import topazladder.request.DecisionHandler;
+import topazladder.request.RequestClass.Idempotency;
 import topazladder.service.Counters.Count;
 
 /**
@@ -34,6 +35,7 @@
 
     private final DoubleSupplier clock;
     private final InFlightRequests inFlightRequests;
+    private final StartedRequestIds startedRequestIds;
     private final Responder responder;
     private final Counters counters;
     private final Deque<Event> queued = new ArrayDeque<>();
@@ -44,10 +46,11 @@
     private double latestNow;
 
     /** A queue without a controller; the clock tells Unix seconds. */
-    AdmissionEventQueue(DoubleSupplier clock, InFlightRequests inFlightRequests, Responder responder,
-            Counters counters) {
+    AdmissionEventQueue(DoubleSupplier clock, InFlightRequests inFlightRequests, StartedRequestIds startedRequestIds,
+            Responder responder, Counters counters) {
         this.clock = clock;
         this.inFlightRequests = inFlightRequests;
+        this.startedRequestIds = startedRequestIds;
         this.responder = responder;
         this.counters = counters;
     }
@@ -121,12 +124,20 @@
         LOG.error("internal error", e);
     }
 
+    private void rememberIfMayHaveRun(InFlightRequest inFlight) {
+        boolean atMostOnce = inFlight.request().requestClass().idempotency() == Idempotency.AT_MOST_ONCE;
+        if (atMostOnce && inFlight.mayHaveRun()) {
+            startedRequestIds.remember(inFlight.requestId(), clock.getAsDouble());
+        }
+    }
+
     private void removeFinished() {
         for (InFlightRequest inFlight : inFlightRequests.affected()) {
             if (!controller.isInFlight(inFlight.request()) && inFlightRequests.removeId(inFlight)) {
                 // All have a response by now, but for one that an internal error took out of the controller's hands.
                 responder.fail(inFlight);
                 inFlightRequests.removeRequest(inFlight);
+                rememberIfMayHaveRun(inFlight);
             }
         }
         inFlightRequests.clearAffected();
--- a/src/main/java/topazladder/service/Counters.java
+++ b/src/main/java/topazladder/service/Counters.java
@@ -38,6 +38,8 @@
         REQUESTS_INVALID,
         /** Rejected unadmitted, as the heap had no room for another request or key. */
         REQUESTS_OUT_OF_MEMORY,
+        /** Under the id of a request that runs or may have run, whose caller had left; answered as failed. */
+        REQUESTS_SENT_AGAIN,
         /** Marked as retries by their callers. */
         REQUESTS_RETRIES,
         /** Whose idempotency key was known here. */
--- a/src/main/java/topazladder/service/InFlightRequest.java
+++ b/src/main/java/topazladder/service/InFlightRequest.java
@@ -5,7 +5,11 @@
 /** One request between its arrival and the end of all that is done for it. */
 public final class InFlightRequest {
 
-    private enum RunState { NOT_STARTED, STARTED }
+    private enum RunState {
+        NOT_STARTED, STARTED,
+        /** It was started, and its end proves that it had no effect. */
+        NOT_RUN
+    }
 
     private enum CallState { NONE, IN_FLIGHT }
 
@@ -80,9 +84,18 @@
 
     /** Whether its run was started, once or more. */
     boolean isStarted() {
+        return runState != RunState.NOT_STARTED;
+    }
+
+    /** Whether it was started, and nothing proves that it had no effect. */
+    boolean mayHaveRun() {
         return runState == RunState.STARTED;
     }
 
+    void markNotRun() {
+        runState = RunState.NOT_RUN;
+    }
+
     void markStarted() {
         runState = RunState.STARTED;
     }
--- a/src/main/java/topazladder/service/RequestDispatcher.java
+++ b/src/main/java/topazladder/service/RequestDispatcher.java
@@ -38,6 +38,7 @@
     private final HeapShares heap = HeapShares.of(Runtime.getRuntime().maxMemory());
     private final InFlightRequests inFlightRequests = new InFlightRequests(heap);
     private final IdempotencyStore idempotencyStore = new IdempotencyStore(heap);
+    private final StartedRequestIds startedRequestIds;
     private final Responder responder;
     private final HealthChecks healthChecks;
     private final AdmissionEventQueue events;
@@ -63,12 +64,13 @@
         settings.tenants().forEach(tenant -> tenants.put(tenant.name(), tenant));
         longestDeadlineSeconds =
                 settings.requestClasses().stream().mapToDouble(RequestClass::deadlineSeconds).max().orElse(0);
+        startedRequestIds = new StartedRequestIds(heap, MAX_WAIT_DEADLINES * longestDeadlineSeconds);
         responder = new Responder(dependency, counters);
         healthChecks = new HealthChecks(runtime, responder, counters);
-        events = new AdmissionEventQueue(clock, inFlightRequests, responder, counters);
+        events = new AdmissionEventQueue(clock, inFlightRequests, startedRequestIds, responder, counters);
         duplicates =
                 new DuplicateRequests(clock, idempotencyStore, inFlightRequests, events, responder, counters);
-        ticks = new TickScheduler(clock, scheduler, runtime, settings.gaugeNames(), idempotencyStore,
+        ticks = new TickScheduler(clock, scheduler, runtime, settings.gaugeNames(), idempotencyStore, startedRequestIds,
                 longestDeadlineSeconds, events, counters);
         decisionExecutor = new DecisionExecutor(clock, runtime, dependency, connections, inFlightRequests, responder,
                 idempotencyStore, duplicates, healthChecks, ticks, counters);
@@ -151,6 +153,11 @@
             respondInvalid(listener);
             return null;
         }
+        if (mayHaveRun(incoming)) {
+            counters.add(Count.REQUESTS_SENT_AGAIN);
+            responder.failUnadmitted(listener);
+            return null;
+        }
         byte[] digest = null;
         IdempotencyRecord record = null;
         if (requestClass.idempotency() == Idempotency.IDEMPOTENT_BY_KEY) {
@@ -163,7 +170,9 @@
             return null;
         }
         boolean anotherKey = digest != null && record == null;
-        if (!inFlightRequests.fits(incoming) || anotherKey && idempotencyStore.isFull()) {
+        boolean anotherId = requestClass.idempotency() == Idempotency.AT_MOST_ONCE;
+        if (!inFlightRequests.fits(incoming) || anotherKey && idempotencyStore.isFull()
+                || anotherId && startedRequestIds.isFull()) {
             counters.add(Count.REQUESTS_OUT_OF_MEMORY);
             rejectUnadmitted(listener);
             return null;
@@ -183,10 +192,16 @@
     private boolean isValid(IncomingRequest incoming, RequestClass requestClass, double waitedSeconds) {
         boolean needsKey = requestClass.idempotency() == Idempotency.IDEMPOTENT_BY_KEY;
         boolean knownTenant = tenants.isEmpty() || incoming.tenant() != null && tenants.containsKey(incoming.tenant());
-        return knownTenant && !inFlightRequests.contains(incoming.requestId())
+        InFlightRequest sameId = inFlightRequests.find(incoming.requestId());
+        return knownTenant && (sameId == null || !sameId.isResponseOwed())
                 && needsKey == (incoming.idempotencyKey() != null) && isPossibleWait(waitedSeconds);
     }
 
+    /** Whether the request, sent again by a caller that had left, runs or may have had its effect here. */
+    private boolean mayHaveRun(IncomingRequest incoming) {
+        return inFlightRequests.contains(incoming.requestId()) || startedRequestIds.contains(incoming.requestId());
+    }
+
     /**
      * Whether a request can have waited so long: all share one clock, and a pause, or a crowd that waits to be read,
      * lasts less than two deadlines. Believed, one time of years would count as the wait of all.
@@ -318,6 +333,9 @@
             case NOT_STARTED -> Count.RUNS_NOT_STARTED;
             default -> Count.RUNS_KILLED;
         });
+        if (outcome.provesNoEffect()) {
+            inFlight.markNotRun();
+        }
         byte[] resultOrNull = outcome == Outcome.SUCCEEDED ? result : null;
         responder.respondWithResult(inFlight, resultOrNull);
         inFlightRequests.affect(inFlight);
--- a/src/main/java/topazladder/service/Responder.java
+++ b/src/main/java/topazladder/service/Responder.java
@@ -82,6 +82,12 @@
         listener.onResponse(Response.rejected(level, 0, false));
     }
 
+    /** Responds to a request that was not admitted because it may have run before. */
+    void failUnadmitted(ResponseListener listener) {
+        counters.add(Count.FAILED);
+        listener.onResponse(Response.failed(level));
+    }
+
     private void respond(InFlightRequest inFlight, Status status, double retryAfterSeconds,
             boolean doNotRetryElsewhere, byte[] body) {
         if (inFlight.endCall()) {
--- a/src/main/java/topazladder/service/TickScheduler.java
+++ b/src/main/java/topazladder/service/TickScheduler.java
@@ -18,6 +18,7 @@
     private final RuntimePort runtime;
     private final List<String> gaugeNames;
     private final IdempotencyStore idempotencyStore;
+    private final StartedRequestIds startedRequestIds;
     private final double longestDeadlineSeconds;
     private final AdmissionEventQueue events;
     private final Counters counters;
@@ -26,15 +27,16 @@
     private boolean scheduled;
     private double delaySeconds;
 
-    /** Sweeps the idempotency store as well, at each tick. */
+    /** Sweeps what is remembered of runs as well, at each tick. */
     TickScheduler(DoubleSupplier clock, Scheduler scheduler, RuntimePort runtime, List<String> gaugeNames,
-            IdempotencyStore idempotencyStore, double longestDeadlineSeconds, AdmissionEventQueue events,
-            Counters counters) {
+            IdempotencyStore idempotencyStore, StartedRequestIds startedRequestIds, double longestDeadlineSeconds,
+            AdmissionEventQueue events, Counters counters) {
         this.clock = clock;
         this.scheduler = scheduler;
         this.runtime = runtime;
         this.gaugeNames = gaugeNames;
         this.idempotencyStore = idempotencyStore;
+        this.startedRequestIds = startedRequestIds;
         this.longestDeadlineSeconds = longestDeadlineSeconds;
         this.events = events;
         this.counters = counters;
@@ -52,6 +54,7 @@
     }
 
     private void requestGauges() {
+        startedRequestIds.sweep(clock.getAsDouble());
         if (idempotencyStore.size() > 0) {
             idempotencyStore.sweep(clock.getAsDouble(), longestDeadlineSeconds);
         }
--- a/src/test/java/topazladder/HostileClients.java
+++ b/src/test/java/topazladder/HostileClients.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +33,9 @@
     private static final int RECONNECT_MILLIS = 5;
     private static final int STREAM_OFFSET = 5;
     private static final long LAST_WRITE_NANOS = 500_000_000;
+    /** None for those that stay away: most of what they wrote lies unread as they leave. */
+    private static final int BEFORE_LEAVING_MILLIS = 20;
+    private static final int AWAY_MILLIS = 700;
 
     /** What the clients send; each name says which, and the builder below how. */
     enum Habit {
@@ -47,6 +51,14 @@
         MANY_FIELDS,
         /** As many requests with a very long key as may be open; many connections. */
         LONG_KEYS,
+        /** Requests that must run once at most, a close over them in order, and the same again on a new connection. */
+        CLOSE_AND_RETURN,
+        /** The same with a reset. */
+        RESET_AND_RETURN,
+        /** As many requests as may be open, and a close in order over most of them; tells when. */
+        CLOSE,
+        /** The same with a reset. */
+        RESET,
 
         // One connection at full speed.
         REQUESTS, REQUESTS_PACED, KEYS_PACED, LONG_KEYS_PACED, UNKNOWN_CLASSES, UNKNOWN_TENANTS, UNKNOWN_FIELDS,
@@ -58,6 +70,10 @@
             return ordinal() < REQUESTS.ordinal();
         }
 
+        boolean leaves() {
+            return this == CLOSE || this == RESET || this == CLOSE_AND_RETURN || this == RESET_AND_RETURN;
+        }
+
         /** Whether the next frame is written only once fewer than the protocol's bound are open. */
         boolean isPaced() {
             return this == REQUESTS_PACED || this == KEYS_PACED || this == LONG_KEYS_PACED;
@@ -84,7 +100,9 @@
         HostileClients clients =
                 new HostileClients(Integer.parseInt(args[0]), Habit.valueOf(args[1]), Double.parseDouble(args[3]));
         clients.endInTime();
-        if (clients.habit.isOfManyConnections()) {
+        if (clients.habit.leaves()) {
+            clients.leaveAgainAndAgain();
+        } else if (clients.habit.isOfManyConnections()) {
             clients.holdMany(Integer.parseInt(args[2]));
         } else {
             clients.flood();
@@ -234,6 +252,51 @@
         }
     }
 
+    // ---- Leaving
+
+    private void leaveAgainAndAgain() throws Exception {
+        boolean returns = habit == Habit.CLOSE_AND_RETURN || habit == Habit.RESET_AND_RETURN;
+        for (int round = 1; !isOver(); round++) {
+            byte[] requests = requestsOf(round, returns ? "invoice" : "read");
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                connections.incrementAndGet();
+                socket.getOutputStream().write(requests);
+                Thread.sleep(returns ? BEFORE_LEAVING_MILLIS : 0);
+                if (habit == Habit.RESET || habit == Habit.RESET_AND_RETURN) {
+                    socket.setSoLinger(true, 0);
+                }
+            }
+            System.out.println("left round=" + round + " at=" + System.currentTimeMillis());
+            Thread.sleep(AWAY_MILLIS);
+            if (returns) {
+                returnWith(requests);
+            }
+        }
+    }
+
+    private byte[] requestsOf(int round, String requestClass) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (int stream = 1; stream <= OPEN_STREAMS; stream++) {
+            names = ((long) round << Integer.SIZE) + stream;
+            all.write(request(stream, requestClass));
+        }
+        return all.toByteArray();
+    }
+
+    private void returnWith(byte[] requests) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(AWAY_MILLIS);
+            socket.getOutputStream().write(requests);
+            DataInputStream in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+            for (int i = 0; i < OPEN_STREAMS; i++) {
+                in.skipNBytes(in.readInt());
+                answers.incrementAndGet();
+            }
+        } catch (SocketTimeoutException e) {
+            System.out.println("unanswered after the return");
+        }
+    }
+
     // ---- Frames
 
     private byte[] frame(int stream) {
@@ -243,7 +306,8 @@
             case HALF_OVERLONG_REQUEST, OVERLONG_REQUESTS -> padded(stream, LARGEST_FRAME - 1);
             case MANY_FIELDS, MANY_FIELDS_UNFINISHED -> CallerFrameBuilder.frame(16, stream, manyFields());
             case LONG_KEYS, LONG_KEYS_PACED -> keyed(stream, "0".repeat(14_000) + name);
-            case REQUESTS, REQUESTS_PACED -> request(stream, "read");
+            case REQUESTS, REQUESTS_PACED, CLOSE, RESET -> request(stream, "read");
+            case CLOSE_AND_RETURN, RESET_AND_RETURN -> request(stream, "invoice");
             case KEYS_PACED -> keyed(stream, name);
             case UNKNOWN_CLASSES -> request(stream, "class-" + name);
             case UNKNOWN_TENANTS -> request(stream, "read", "project", "tenant-" + name);
--- a/src/test/java/topazladder/HostileClientsIT.java
+++ b/src/test/java/topazladder/HostileClientsIT.java
@@ -5,12 +5,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import topazladder.HostileClients.Habit;
+import topazladder.ServingRuntime.Start;
 
 /** The packed program between a sound caller and clients that harm it, these in a process of their own. */
 @Timeout(120)
@@ -20,6 +24,8 @@
     /** The run line gives the heap a third of it. */
     private static final int SMALL_MEMORY_MEGABYTES = 48;
     private static final int RUN_MILLIS = 5;
+    private static final int LONG_RUN_MILLIS = 400;
+    private static final Pattern LEFT = Pattern.compile("left round=(\\d+) at=(\\d+)");
     private static final int CONNECTIONS = 700;
     private static final double SECONDS = 4;
     /** The deadline of the settings, its slack, and what the protocol adds on sockets. */
@@ -64,6 +70,43 @@
         }
     }
 
+    // What a caller had sent when it left ran a second time when it came again with it, under the same ids.
+    @ParameterizedTest
+    @EnumSource(names = {"CLOSE_AND_RETURN", "RESET_AND_RETURN"})
+    void requestThatRanRunsNoSecondTimeWhenItsCallerComesAgain(Habit habit) throws Exception {
+        try (ServedProgram program = new ServedProgram(folder, MEMORY_MEGABYTES, RUN_MILLIS)) {
+            leaveAgainAndAgain(program, habit);
+            assertThat(program.runtime.starts()).extracting(Start::requestId).doesNotHaveDuplicates();
+            assertThat(program.harmReport()).doesNotContain("unanswered");
+        }
+    }
+
+    /** Held requests would begin as the first runs end: none does where its caller has gone by then. */
+    @ParameterizedTest
+    @EnumSource(names = {"CLOSE", "RESET"})
+    void requestsOfACallerThatHasLeftAreNotRunAsCoresComeFree(Habit habit) throws Exception {
+        try (ServedProgram program = new ServedProgram(folder, MEMORY_MEGABYTES, LONG_RUN_MILLIS)) {
+            Map<Long, Long> leftAt = leaveAgainAndAgain(program, habit);
+            assertThat(program.runtime.starts()).allSatisfy(start -> {
+                long round = Long.parseLong(start.requestId().substring(0, Integer.SIZE / 4), 16);
+                assertThat(start.atUnixMillis()).isLessThan(leftAt.get(round) + LONG_RUN_MILLIS);
+            });
+        }
+    }
+
+    /** Returns when the clients left in each round, in Unix milliseconds. */
+    private static Map<Long, Long> leaveAgainAndAgain(ServedProgram program, Habit habit) throws Exception {
+        program.runtime.record();
+        Process clients = program.harm(habit, 1, SECONDS);
+        assertThat(clients.waitFor(60, TimeUnit.SECONDS)).isTrue();
+        assertThat(program.runtime.starts()).isNotEmpty();
+        Map<Long, Long> leftAt = new HashMap<>();
+        LEFT.matcher(program.harmReport()).results().forEach(
+                left -> leftAt.put(Long.parseLong(left.group(1)), Long.parseLong(left.group(2))));
+        assertThat(leftAt).hasSizeGreaterThan(1);
+        return leftAt;
+    }
+
     private SoundCaller.Report harm(ServedProgram program, Habit habit) throws Exception {
         try (SoundCaller caller = new SoundCaller(program.port)) {
             Process clients = program.harm(habit, CONNECTIONS, SECONDS);
--- a/src/test/java/topazladder/ServingRuntime.java
+++ b/src/test/java/topazladder/ServingRuntime.java
@@ -11,7 +11,7 @@
 final class ServingRuntime implements AutoCloseable {
 
     /** One command to start a run. */
-    record Start(String requestId, String requestClass, long atNanos) {
+    record Start(String requestId, String requestClass, long atUnixMillis) {
     }
 
     private final StandInLineServer server = new StandInLineServer();
@@ -59,7 +59,7 @@
             case "sync" -> say(ServiceInstanceFixture.READY_LOADED);
             case "start" -> {
                 server.receivePayload(Integer.parseInt(words[3]));
-                started(new Start(words[1], words[2], System.nanoTime()));
+                started(new Start(words[1], words[2], System.currentTimeMillis()));
                 timer.schedule(() -> end(words[1]), runMillis, TimeUnit.MILLISECONDS);
             }
             case "selftest" -> say("verdict " + words[1] + " PASS\r\n");
--- a/src/test/java/topazladder/net/CallerServerTest.java
+++ b/src/test/java/topazladder/net/CallerServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static topazladder.CallerFrameBuilder.deepHealthCheck;
+import static topazladder.CallerFrameBuilder.frame;
 import static topazladder.CallerFrameBuilder.healthCheck;
 import static topazladder.CallerFrameBuilder.request;
 
@@ -141,6 +142,19 @@
         }
     }
 
+    // Nothing is written to a caller that takes back nothing, so that its end went unseen until all was read.
+    @Test
+    void cancellationsOfNothingEndTheirConnectionLikeOthers() throws Exception {
+        try (StandInCaller caller = new StandInCaller(port)) {
+            byte[][] cancellations = new byte[65][];
+            Arrays.setAll(cancellations, i -> frame(18, i + 1));
+            caller.send(cancellations);
+            assertThat(caller.receive()).contains("17 on 0 code 2");
+            assertThat(caller.receive()).isEqualTo("closed");
+            assertThat(counters.get(Count.CONNECTIONS_CLOSED_TOO_MANY_CANCELLED)).isEqualTo(1);
+        }
+    }
+
     @Test
     void callerThatSendsNoMoreIsStillAnswered() throws Exception {
         try (StandInCaller caller = new StandInCaller(port)) {
