--- a/src/main/java/topazladder/net/CallerConnection.java
+++ b/src/main/java/topazladder/net/CallerConnection.java
@@ -33,7 +33,7 @@
     /** Read in one turn of the event loop, which all connections share; as many as may be open on one of them. */
     private static final int MAX_MESSAGES_PER_TURN = 32;
     /** Until the next turn of a connection that had more. */
-    private static final long DEFERRED_READ_MILLIS = 1;
+    private static final long POSTPONED_READ_MILLIS = 1;
     /** Between the error and the close, for the caller to read why. */
     private static final long ERROR_LINGER_MILLIS = 300;
     /** What a caller sends before it has seen the end of this side is read away for so long. */
@@ -57,7 +57,7 @@
     private boolean inputShutdown; // its caller sends no more
     private boolean writeBlocked; // nothing more is read until what was written has gone out
     private boolean reading; // messages that came are being read
-    private boolean readDeferred; // nothing more is read until others had their turn
+    private boolean readPostponed; // nothing more is read until others had their turn
 
     CallerConnection(Vertx vertx, NetSocket socket, RequestDispatcher dispatcher, Counters counters,
             PartialMessageMemory partialMessages, Consumer<CallerConnection> onClosed) {
@@ -114,19 +114,19 @@
             return;
         }
         if (messages == MAX_MESSAGES_PER_TURN && !reader.isEmpty()) {
-            deferReading();
+            postponeReading();
         }
         messageTimeout.bytesRead(messages > 0, !reader.isEmpty() && !isReadingHeld());
         partialMessages.update(this, reader.bufferedBytes(), messages > 0);
     }
 
     /** By a timer, as a task that follows at once would run before the sockets of the others are looked at. */
-    private void deferReading() {
-        counters.add(Count.READS_DEFERRED);
-        readDeferred = true;
+    private void postponeReading() {
+        counters.add(Count.READS_POSTPONED);
+        readPostponed = true;
         socket.pause();
-        vertx.setTimer(DEFERRED_READ_MILLIS, id -> {
-            readDeferred = false;
+        vertx.setTimer(POSTPONED_READ_MILLIS, id -> {
+            readPostponed = false;
             continueReading();
         });
     }
@@ -144,7 +144,7 @@
 
     /** Whether messages that came may lie unread for now, through no fault of their caller's. */
     private boolean isReadingHeld() {
-        return writeBlocked || readDeferred;
+        return writeBlocked || readPostponed;
     }
 
     /** Writes the response to a stream, and closes if it was the last that a caller waited for that sends no more. */
@@ -284,7 +284,7 @@
 
     /** Whether no response is owed on it, nor may be to what came and is not read yet. */
     boolean isVacant() {
-        return streams.isEmpty() && !readDeferred;
+        return streams.isEmpty() && !readPostponed;
     }
 
     Value value() {
--- a/src/main/java/topazladder/service/Counters.java
+++ b/src/main/java/topazladder/service/Counters.java
@@ -30,7 +30,7 @@
         CONNECTIONS_CLOSED_TOO_MANY_CANCELLED,
         CONNECTIONS_CLOSED_TOO_MANY_INVALID,
         /** A connection had more messages than one turn of the event loop allows, and let others go first. */
-        READS_DEFERRED,
+        READS_POSTPONED,
 
         // Requests and health checks as they arrive.
         REQUESTS_RECEIVED,
--- a/src/test/java/topazladder/net/CallerServerTest.java
+++ b/src/test/java/topazladder/net/CallerServerTest.java
@@ -138,7 +138,7 @@
             assertThat(answers).isEqualTo(checks + 1);
             assertThat(last).isEqualTo("17 on " + (checks + 1) + " code 1");
             assertThat(caller.wasReset()).isFalse();
-            assertThat(counters.get(Count.READS_DEFERRED)).isPositive();
+            assertThat(counters.get(Count.READS_POSTPONED)).isPositive();
         }
     }
 
