Log by what a redelivered message that is acknowledged again had been settled

Three explanations gave the same ledger: the copy bears its original's number of tries and is taken for it; the copy left a record of its own (a run that ended behind the lost link); another message of the same id and body did.

Change: what is remembered says how a message was settled, and the line "broker delivery acknowledged again" says it beside what is redelivered. A reply by the default exchange was told from a copy by the name of its exchange, so that copies on a delay route of the default exchange were counted as acknowledged; the outcome itself is kept now and counted by.

DeliveryTest's lines ask for the settlement where they asked for yes or no.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -19,6 +19,7 @@
 import topazladder.delivery.Outcomes.Outcome;
 import topazladder.delivery.Outcomes.What;
 import topazladder.delivery.Outcomes.Why;
+import topazladder.delivery.Remembered.Settlement;
 import topazladder.request.RequestClass.Idempotency;
 import topazladder.service.AdmissionLevel;
 import topazladder.service.Counters;
@@ -64,6 +65,7 @@
         final Delivery delivery;
         final Mapped mapped;
         Phase phase = Phase.IN_MODULE;
+        What outcome = What.ACKNOWLEDGE;
         InFlightRequest inFlight;
         long publication;
         int published;
@@ -165,11 +167,11 @@
         if (q.open.size() >= q.prefetch.window()) {
             q.prefetch.filled();
         }
+        Settlement before = m.why() == null && d.redelivered() ? remembered.settlement(d, m.tries(), now) : null;
         if (m.why() != null) {
             settle(o, Outcomes.dead(Why.NOT_MAPPED), m.why());
-        } else if (d.redelivered() && remembered.isDone(d, m.tries(), now)) {
-            // Its acknowledgement was lost on the way.
-            acknowledge(o);
+        } else if (before != null) {
+            acknowledgeAgain(o, before);
         } else if (d.redelivered() && mayHaveRunUnknown(m, q.terms)) {
             settleInDoubt(o);
         } else if (leaving) {
@@ -180,6 +182,15 @@
         }
     }
 
+    /** Its acknowledgement was lost on the way. */
+    private void acknowledgeAgain(Open o, Settlement before) {
+        LOG.info("broker delivery acknowledged again queue={} message_id={} tries={} rejections={} settled_by={}"
+                + " settled_rejections={}", o.queue.terms.queue(), o.delivery.properties().messageId(),
+                o.mapped.tries(), o.delivery.deaths(), before.outcome(), before.rejections());
+        counters.add(Count.DELIVERIES_ACKNOWLEDGED);
+        acknowledge(o, before);
+    }
+
     /** Whether it may have run elsewhere, or here before all that is remembered, so that it must not run again. */
     private boolean mayHaveRunUnknown(Mapped m, QueueSettings terms) {
         return switch (m.requestClass().idempotency()) {
@@ -263,7 +274,8 @@
         o.queue.prefetch.ended(status == Status.REJECTED);
         if (o.phase == Phase.LOST) {
             if (status == Status.SERVED) {
-                remembered.done(o.delivery, o.mapped.tries(), clock.getAsDouble());
+                remembered.settled(o.delivery, o.mapped.tries(),
+                        new Settlement(What.ACKNOWLEDGE, o.delivery.deaths()), clock.getAsDouble());
             }
             return;
         }
@@ -325,6 +337,7 @@
     private void settle(Open o, Outcome outcome, String reason, double stayAway) {
         double now = clock.getAsDouble();
         String queue = o.queue.terms.queue();
+        o.outcome = outcome.what();
         switch (outcome.what()) {
             case ACKNOWLEDGE -> acknowledge(o);
             case HAND_BACK -> {
@@ -382,10 +395,17 @@
     }
 
     private void acknowledge(Open o) {
-        counters.add(o.what == null || o.what.exchange().isEmpty() ? Count.DELIVERIES_ACKNOWLEDGED
-                : o.what.headers().containsKey(REASON) ? Count.DELIVERIES_DEAD_LETTERED : Count.DELIVERIES_DELAYED);
+        counters.add(switch (o.outcome) {
+            case DELAY -> Count.DELIVERIES_DELAYED;
+            case DEAD_LETTER -> Count.DELIVERIES_DEAD_LETTERED;
+            default -> Count.DELIVERIES_ACKNOWLEDGED;
+        });
+        acknowledge(o, new Settlement(o.outcome, o.delivery.deaths()));
+    }
+
+    private void acknowledge(Open o, Settlement settlement) {
         if (o.mapped.why() == null) {
-            remembered.done(o.delivery, o.mapped.tries(), clock.getAsDouble());
+            remembered.settled(o.delivery, o.mapped.tries(), settlement, clock.getAsDouble());
         }
         close(o);
         port.acknowledge(o.queue.terms.queue(), o.delivery.tag());
--- a/src/main/java/topazladder/delivery/Remembered.java
+++ b/src/main/java/topazladder/delivery/Remembered.java
@@ -16,9 +16,18 @@
     /** A hundred bytes each; past it the oldest go first, and theirs are judged as unknown. */
     static final int MOST = 20_000;
 
+    /**
+     * How a message was settled.
+     *
+     * @param outcome what became of it; {@code ACKNOWLEDGE} where it ran
+     * @param rejections how often it had been rejected elsewhere when it was settled, by x-death
+     */
+    record Settlement(Outcomes.What outcome, int rejections) {
+    }
+
     private static final class Entry {
         double since;
-        boolean done;
+        Settlement settlement; // null until it is settled
         int returns;
     }
 
@@ -55,17 +64,18 @@
     }
 
     /** Nothing more is to be done for it but to acknowledge it. */
-    void done(Delivery d, int tries, double now) {
-        entry(d, tries, now).done = true;
+    void settled(Delivery d, int tries, Settlement settlement, double now) {
+        entry(d, tries, now).settlement = settlement;
     }
 
     void returned(Delivery d, int tries, double now) {
         entry(d, tries, now).returns++;
     }
 
-    boolean isDone(Delivery d, int tries, double now) {
+    /** How it was settled lately, or null where that is not known. */
+    Settlement settlement(Delivery d, int tries, double now) {
         Entry e = entries.get(key(d, tries));
-        return e != null && e.done && e.since >= now - KEPT;
+        return e == null || e.since < now - KEPT ? null : e.settlement;
     }
 
     /** How often it went back to its queue from here. */
--- a/src/test/java/topazladder/delivery/DeliveryTest.java
+++ b/src/test/java/topazladder/delivery/DeliveryTest.java
@@ -22,11 +22,14 @@
 import topazladder.config.SettingsReader;
 import topazladder.delivery.Delivery.Properties;
 import topazladder.delivery.Mapping.Mapped;
+import topazladder.delivery.Outcomes.What;
+import topazladder.delivery.Remembered.Settlement;
 import topazladder.request.RequestClass.Idempotency;
 import topazladder.service.Response.Status;
 
 /** What a message comes to as a request, and what its request comes to as an outcome. */
 class DeliveryTest {
+    private static final Settlement COPIED = new Settlement(What.DELAY, 0);
     private static final SettingsReader TERMS = SettingsReader.ofLines("""
         Classes.count=2
         Classes.0.Name=read
@@ -180,23 +183,24 @@
     void whatIsDoneIsKnownByItsIdItsTryAndItsBody() {
         Remembered r = new Remembered();
         Delivery d = delivery("place", "new.acme", id("A"), new byte[] {1});
-        r.done(d, 0, 0);
-        assertThat(r.isDone(d, 0, 10)).isTrue();
-        assertThat(r.isDone(d, 1, 10)).as("a copy that waited").isFalse();
-        assertThat(r.isDone(delivery("place", "new.acme", id("A"), new byte[] {2}), 0, 10)).as("another body")
-                .isFalse();
-        assertThat(r.isDone(delivery("place", "new.acme", id(null), new byte[] {1}), 0, 10)).as("no id").isFalse();
-        assertThat(r.isDone(d, 0, Remembered.KEPT + 1)).as("too long ago").isFalse();
+        r.settled(d, 0, COPIED, 0);
+        assertThat(r.settlement(d, 0, 10)).isEqualTo(COPIED);
+        assertThat(r.settlement(d, 1, 10)).as("a copy that waited").isNull();
+        assertThat(r.settlement(delivery("place", "new.acme", id("A"), new byte[] {2}), 0, 10)).as("another body")
+                .isNull();
+        assertThat(r.settlement(delivery("place", "new.acme", id(null), new byte[] {1}), 0, 10)).as("no id").isNull();
+        assertThat(r.settlement(d, 0, Remembered.KEPT + 1)).as("too long ago").isNull();
     }
 
     @Test
     void whatIsRememberedIsBounded() {
         Remembered r = new Remembered();
         for (int i = 0; i < Remembered.MOST + 5000; i++) {
-            r.done(delivery("read", "new.acme", id("m" + i), new byte[1]), 0, i * 0.001);
+            r.settled(delivery("read", "new.acme", id("m" + i), new byte[1]), 0, COPIED, i * 0.001);
         }
         assertThat(r.size()).isLessThanOrEqualTo(Remembered.MOST + 1);
-        r.done(delivery("read", "new.acme", id("last"), new byte[1]), 0, 10_000);
+        r.settled(delivery("read", "new.acme", id("last"), new byte[1]), 0, COPIED,
+                10_000);
         assertThat(r.size()).isEqualTo(1);
     }
 
