Draw overloads, crashes and restarts in the schedules of deliveries, and audit by arrival

Half of them now have a spell in which more comes than both instances can run while links break, and a third an instance that crashes and starts anew without its memory. Both come from random streams of their own; the other draws are kept. The virtual link counts rejections by x-death as the real one does, by one parser (DeathHeader).

A check was wrong and is replaced: a second run of a keyed message was counted from the beginning of the first run. The audit now takes the arrivals of the two tries that ran. It is as strict, and stricter where the second one waits: that its run began late excuses nothing.

The audit is a class of its own, and the ids of requests are handed to the consumer, so that the trial knows which try ran.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
-import java.util.random.RandomGenerator;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import topazladder.config.QueueSettings;
@@ -113,7 +113,7 @@
     private final Scheduler timers;
     private final RequestDispatcher dispatcher;
     private final Counters counters;
-    private final RandomGenerator chance;
+    private final Supplier<String> requestIds;
     private final BrokerPort port;
     private final Mapping mapping;
     private final Map<String, Queue> queues = new LinkedHashMap<>();
@@ -125,13 +125,13 @@
     private boolean leaving;
 
     public Consumer(DoubleSupplier clock, Scheduler timers, RequestDispatcher dispatcher, Counters counters,
-            RandomGenerator chance,
+            Supplier<String> requestIds,
             BrokerPort port, SettingsReader terms, List<QueueSettings> queues) {
         this.clock = clock;
         this.timers = timers;
         this.dispatcher = dispatcher;
         this.counters = counters;
-        this.chance = chance;
+        this.requestIds = requestIds;
         this.port = port;
         mapping = new Mapping(terms);
         queues.forEach(q -> this.queues.put(q.queue(), new Queue(q)));
@@ -161,7 +161,7 @@
         Queue q = queues.get(d.queue());
         double now = clock.getAsDouble();
         counters.add(Count.DELIVERIES_RECEIVED);
-        Mapped m = mapping.map(d, q.terms, ref(), now);
+        Mapped m = mapping.map(d, q.terms, requestIds.get(), now);
         Open o = new Open(q, d, m);
         q.open.put(d.tag(), o);
         if (q.open.size() >= q.prefetch.window()) {
@@ -186,7 +186,7 @@
     private void acknowledgeAgain(Open o, Settlement before) {
         LOG.info("broker delivery acknowledged again queue={} message_id={} tries={} rejections={} settled_by={}"
                 + " settled_rejections={}", o.queue.terms.queue(), o.delivery.properties().messageId(),
-                o.mapped.tries(), o.delivery.deaths(), before.outcome(), before.rejections());
+                o.mapped.tries(), o.delivery.rejections(), before.outcome(), before.rejections());
         counters.add(Count.DELIVERIES_ACKNOWLEDGED);
         acknowledge(o, before);
     }
@@ -275,7 +275,7 @@
         if (o.phase == Phase.LOST) {
             if (status == Status.SERVED) {
                 remembered.settled(o.delivery, o.mapped.tries(),
-                        new Settlement(What.ACKNOWLEDGE, o.delivery.deaths()), clock.getAsDouble());
+                        new Settlement(What.ACKNOWLEDGE, o.delivery.rejections()), clock.getAsDouble());
             }
             return;
         }
@@ -358,10 +358,10 @@
             }
             case DELAY -> {
                 Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
-                // What x-death counts stays in that header; this one counts the rest.
                 headers.putIfAbsent(Mapping.FIRST_EXCHANGE, o.delivery.exchange());
                 headers.putIfAbsent(Mapping.FIRST_KEY, o.delivery.routingKey());
-                headers.put(Mapping.TRIES, String.valueOf(tries(o) - o.delivery.deaths() + 1));
+                // What x-death counts stays in that header; this one counts the rest.
+                headers.put(Mapping.TRIES, String.valueOf(tries(o) - o.delivery.rejections() + 1));
                 copy(o, o.queue.terms.delayRoute(), headers, Math.max(LEAST_DELAY, stayAway));
             }
             case DEAD_LETTER -> {
@@ -400,7 +400,7 @@
             case DEAD_LETTER -> Count.DELIVERIES_DEAD_LETTERED;
             default -> Count.DELIVERIES_ACKNOWLEDGED;
         });
-        acknowledge(o, new Settlement(o.outcome, o.delivery.deaths()));
+        acknowledge(o, new Settlement(o.outcome, o.delivery.rejections()));
     }
 
     private void acknowledge(Open o, Settlement settlement) {
@@ -461,9 +461,4 @@
             }
         }
     }
-
-    /** Names a try at the door; other tries have names of their own makers, so that chance keeps them apart. */
-    private String ref() {
-        return String.format("%016x", chance.nextLong());
-    }
 }
--- a/src/main/java/topazladder/delivery/Delivery.java
+++ b/src/main/java/topazladder/delivery/Delivery.java
@@ -9,10 +9,10 @@
  * @param tag by which it is settled, on the link that it came by and no other
  * @param redelivered it may have been delivered before, here or elsewhere
  * @param headers their values as text
- * @param deaths how often a broker dead-lettered or expired it, by x-death
+ * @param rejections how often consumers rejected it before, by {@link DeathHeader}
  */
 public record Delivery(String queue, long tag, boolean redelivered, String exchange, String routingKey,
-        Map<String, String> headers, Properties properties, int deaths, byte[] body) {
+        Map<String, String> headers, Properties properties, int rejections, byte[] body) {
 
     /**
      * What 0-9-1 calls the basic properties, as far as they mean something here; null where absent.
--- a/src/main/java/topazladder/delivery/Mapping.java
+++ b/src/main/java/topazladder/delivery/Mapping.java
@@ -75,7 +75,7 @@
         if (!(tries >= 0 && tries < 1000)) {
             return Mapped.none("a number of tries that is none");
         }
-        int tried = (int) tries + d.deaths();
+        int tried = (int) tries + d.rejections();
         // What waited in the queue is no wait of this machine: its time counts from when it came, unless the
         // publisher's
         // clock is to be believed and could be right. A clock that is wrong by a day must not make all hopeless.
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -10,9 +10,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import topazladder.broker.Broker;
 import topazladder.broker.Ledger;
-import topazladder.broker.Message;
 import topazladder.broker.Message.Props;
 import topazladder.config.FieldSource;
 import topazladder.config.QueueSettings;
@@ -20,6 +20,7 @@
 import topazladder.config.QueueSettings.Route;
 import topazladder.config.SettingsReader;
 import topazladder.delivery.Consumer;
+import topazladder.delivery.RandomRequestIds;
 import topazladder.request.Outcome;
 import topazladder.service.AdmissionLevel;
 import topazladder.service.ClientConnections;
@@ -33,16 +34,17 @@
 import topazladder.service.RuntimePort;
 
 /**
- * Two instances that consume from one broker in virtual time while links break, brokers vanish and instances leave,
- * by a
- * schedule that a seed draws. What ran where is written down by the machines, what became of each delivery by the
- * broker; the audit reads both and nothing of the program's own.
+ * Two instances that consume from one broker in virtual time while links break, brokers vanish, more comes than both
+ * can run, and instances leave or crash and start anew, by a schedule that a seed draws. What ran where is written down
+ * by the machines, what became of each delivery by the broker; {@link DeliveryAudit} reads both.
  */
 public final class DeliveryTrial {
     private static final double LOAD_FOR = 20;
     private static final double SETTLES = 90;
-    private static final double WINDOW = 13.671;
     private static final double GRACE = 2;
+    private static final double SHORTEST_RUN = 0.05;
+    private static final double SHORTEST_RUN_UNDER_OVERLOAD = 0.6;
+    private static final double OVERLOAD_RATE = 30;
 
     private static final String SETTINGS = """
         Classes.count=3
@@ -65,9 +67,9 @@
         Safety.DrainGraceNs=2000000000
         """ + Brief.MACHINE;
 
-    /** Where one run began. */
-    public record Run(String instance, long message, String requestClass, double at, double arrived) {
-    }
+    private static final long HISTORIES_SEED = 0x5DEECE66DL << 8;
+    private static final long CRASHES_SEED = 0x9E3779B9L << 16;
+    private static final long OVERLOADS_SEED = 0x6C078965L << 24;
 
     /** What a schedule gave. */
     public record Result(List<String> breaks, Map<String, Integer> counts, List<String> schedule) {
@@ -76,7 +78,7 @@
     private final Timeline time = new Timeline(1_000_000);
     private final Ledger ledger = new Ledger();
     private final Broker broker = new Broker(time, time, ledger);
-    private final List<Run> runs = new ArrayList<>();
+    private final List<DeliveryAudit.Run> runs = new ArrayList<>();
     private final List<String> schedule = new ArrayList<>();
     private final Map<Long, String> published = new LinkedHashMap<>(); // number to request class
     private final Set<Long> servedToCallers = new HashSet<>();
@@ -85,11 +87,21 @@
     private final SplittableRandom chance;
     /** Of what happens beside the notice to leave, so that it moves no other draw. */
     private final SplittableRandom besideLeaving;
+    /** Of what became of messages before and becomes of them afterwards; this and those below for the same reason. */
+    private final SplittableRandom histories;
+    private final SplittableRandom crashes;
+    private final SplittableRandom overloads;
+    private final boolean delaysStock;
+    private boolean brokerUp = true;
     private long lastNumber;
 
     private DeliveryTrial(long seed) {
         chance = new SplittableRandom(seed);
         besideLeaving = new SplittableRandom(~seed);
+        histories = new SplittableRandom(seed ^ HISTORIES_SEED);
+        crashes = new SplittableRandom(seed ^ CRASHES_SEED);
+        overloads = new SplittableRandom(seed ^ OVERLOADS_SEED);
+        delaysStock = histories.nextInt(4) > 0;
     }
 
     /** One instance with its machine, its dependency and its link. */
@@ -104,8 +116,11 @@
         final Consumer consumer;
         final Map<String, Double> arrived = new HashMap<>();
         final Map<String, byte[]> bodies = new HashMap<>();
+        /** When each delivery reached this instance, by the id of its request. */
+        final Map<String, Double> deliveredAt = new HashMap<>();
         double leftAt = Double.POSITIVE_INFINITY;
         boolean over;
+        boolean crashed;
 
         Worker(String name, SplittableRandom own) {
             this.name = name;
@@ -119,12 +134,23 @@
             instance.runtimeConnected(false);
             link = new VirtualLink(name, time, broker, own.split(), List.of("orders", "stock"));
             consumer =
-                    new Consumer(time, time, dispatcher, counters, own.split(), link, SettingsReader.ofLines(SETTINGS),
-                            List.of(terms("orders"), terms("stock")));
+                    new Consumer(time, time, dispatcher, counters, recordedIds(own.split()), link,
+                            SettingsReader.ofLines(SETTINGS),
+                            List.of(terms("orders", true), terms("stock", delaysStock)));
+            link.brokerIs(brokerUp);
             link.open(consumer);
             look();
         }
 
+        private Supplier<String> recordedIds(SplittableRandom random) {
+            RandomRequestIds ids = new RandomRequestIds(random);
+            return () -> {
+                String id = ids.get();
+                deliveredAt.put(id, time.getAsDouble());
+                return id;
+            };
+        }
+
         private void look() {
             if (!over) {
                 consumer.look();
@@ -138,11 +164,23 @@
             consumer.leave();
         }
 
+        /** Its process ends at once; the runtime is another, and goes on with what it runs. */
+        void crash(double brokerNotices) {
+            over = true;
+            crashed = true;
+            link.crash(brokerNotices);
+        }
+
         @Override
         public void start(String ref, String requestClass, byte[] body) {
+            if (crashed) {
+                return;
+            }
             long number = number(body);
-            runs.add(new Run(name, number, requestClass, time.getAsDouble(), arrived.getOrDefault(ref,
-                    time.getAsDouble())));
+            double now = time.getAsDouble();
+            double arrivedAt = arrived.getOrDefault(ref, now);
+            runs.add(new DeliveryAudit.Run(name, number, requestClass, now, arrivedAt,
+                    deliveredAt.getOrDefault(ref, arrivedAt)));
             bodies.put(ref, body);
             time.schedule(0.0005, () -> runtime.start(ref, body));
         }
@@ -192,12 +230,12 @@
         }
     }
 
-    private static QueueSettings terms(String queue) {
+    private static QueueSettings terms(String queue, boolean delays) {
         return new QueueSettings(queue,
                 new Fields(FieldSource.of("", "header:offering"), null, FieldSource.of("", "header:mark"),
                         null, null,
                         false),
-                16, 6, 4000, new Route("later", queue), new Route("dead", queue), 20, true);
+                16, 6, 4000, delays ? new Route("later", queue) : null, new Route("dead", queue), 20, true);
     }
 
     private static long number(byte[] body) {
@@ -210,32 +248,24 @@
     }
 
     private Result run(boolean faults) {
-        broker.declareExchange("in", "topic", false);
-        broker.declareExchange("later", "direct", false);
-        broker.declareExchange("dead", "fanout", false);
-        broker.declareExchange("again", "direct", false);
-        broker.declareQueue("dead", Map.of(), true, false);
-        broker.bind("dead", "dead", "", Map.of());
-        for (String queue : List.of("orders", "stock")) {
-            broker.declareQueue(queue, Map.of(), true, false);
-            broker.bind(queue, "in", queue + ".#", Map.of());
-            broker.bind(queue, "again", queue, Map.of());
-            broker.declareQueue(queue + ".later", Map.of("x-dead-letter-exchange", "again",
-                    "x-dead-letter-routing-key", queue), true, false);
-            broker.bind(queue + ".later", "later", queue, Map.of());
-        }
-        broker.declareQueue("answers", Map.of(), true, false);
+        declareTopology();
         if (chance.nextInt(4) == 0) {
             for (int i = 0; i < 60; i++) {
-                publish(); // a backlog waits when the first consumer comes
+                publish(chance, SHORTEST_RUN); // a backlog waits when the first consumer comes
             }
         }
         double start = time.getAsDouble();
         workers.add(new Worker("a", chance.split()));
         workers.add(new Worker("b", chance.split()));
         double rate = 4 + chance.nextDouble() * 20;
-        load(start + LOAD_FOR, rate);
+        load(chance, start + LOAD_FOR, rate, SHORTEST_RUN);
         if (faults) {
+            if (crashes.nextInt(3) == 0) {
+                crash(crashes.nextDouble() * LOAD_FOR, crashes.nextDouble() * 2, 0.5 + 3 * crashes.nextDouble());
+            }
+            if (overloads.nextBoolean()) {
+                overload(start, overloads.nextDouble() * LOAD_FOR, 2 + 6 * overloads.nextDouble());
+            }
             int count = 1 + chance.nextInt(6);
             for (int i = 0; i < count; i++) {
                 fault(chance.nextDouble() * LOAD_FOR);
@@ -253,62 +283,82 @@
             }
         }
         time.runUntil(start + LOAD_FOR + SETTLES);
-        List<String> breaks = audit();
+        List<String> breaks = new DeliveryAudit(ledger, runs, published).breaks(holders(), done, messagesThere());
         Map<String, Integer> counts = new LinkedHashMap<>();
         counts.put("published", published.size());
         counts.put("runs", runs.size());
         counts.put("dead", broker.ready("dead"));
         counts.put("waiting", left());
         counts.put("answers", broker.ready("answers"));
+        counts.put("delayed copies", (int) ledger.entries().stream().filter(e -> e.what() == Ledger.What.EXPIRED)
+                .count());
         counts.put("lost deliveries", (int) ledger.entries().stream().filter(e -> e.what() == Ledger.What.LINK_LOST)
                 .count());
         return new Result(breaks, counts, schedule);
     }
 
+    private void declareTopology() {
+        broker.declareExchange("in", "topic", false);
+        broker.declareExchange("later", "direct", false);
+        broker.declareExchange("dead", "fanout", false);
+        broker.declareExchange("again", "direct", false);
+        broker.declareQueue("dead", Map.of(), true, false);
+        broker.bind("dead", "dead", "", Map.of());
+        for (String queue : List.of("orders", "stock")) {
+            broker.declareQueue(queue, Map.of(), true, false);
+            broker.bind(queue, "in", queue + ".#", Map.of());
+            broker.bind(queue, "again", queue, Map.of());
+            broker.declareQueue(queue + ".later", Map.of("x-dead-letter-exchange", "again",
+                    "x-dead-letter-routing-key", queue), true, false);
+            broker.bind(queue + ".later", "later", queue, Map.of());
+        }
+        broker.declareQueue("answers", Map.of(), true, false);
+    }
+
     private void note(double at, String what) {
         schedule.add(String.format(Locale.ROOT, "%7.3f  %s", at, what));
     }
 
-    private void load(double until, double rate) {
+    private void load(SplittableRandom random, double until, double rate, double shortestRun) {
         if (time.getAsDouble() < until) {
-            time.schedule(-StrictMath.log(1 - chance.nextDouble()) / rate, () -> {
-                publish();
-                load(until, rate);
+            time.schedule(-StrictMath.log(1 - random.nextDouble()) / rate, () -> {
+                publish(random, shortestRun);
+                load(random, until, rate, shortestRun);
             });
         }
     }
 
-    private void publish() {
+    private void publish(SplittableRandom random, double shortestRun) {
         long number = ++lastNumber;
-        int kind = chance.nextInt(10);
+        int kind = random.nextInt(10);
         String requestClass = kind < 5 ? "stock-check" : kind < 8 ? "order-place" : "invoice";
         String queue = requestClass.equals("stock-check") ? "stock" : "orders";
-        byte[] body = String.format(Locale.ROOT, "%.4f %.4f %d", 0.05 + 0.3 * chance.nextDouble(),
-                chance.nextInt(3) == 0 ? 0.05 : 0, number).getBytes(StandardCharsets.US_ASCII);
+        byte[] body = String.format(Locale.ROOT, "%.4f %.4f %d", shortestRun + 0.3 * random.nextDouble(),
+                random.nextInt(3) == 0 ? 0.05 : 0, number).getBytes(StandardCharsets.US_ASCII);
         Map<String, Object> headers = new LinkedHashMap<>(Map.of("offering", requestClass, "mark", "m" + number));
-        Props props = new Props(null, 2, null, "c" + number, chance.nextInt(3) == 0 ? "answers" : null, null, "id"
+        Props props = new Props(null, 2, null, "c" + number, random.nextInt(3) == 0 ? "answers" : null, null, "id"
                 + number,
                 // Some publishers' clocks are wrong by a day.
-                (long) time.getAsDouble() + (chance.nextInt(5) == 0 ? 86_400 : 0), null, null, null);
+                (long) time.getAsDouble() + (random.nextInt(5) == 0 ? 86_400 : 0), null, null, null);
         published.put(number, requestClass);
-        if (chance.nextInt(40) == 0) {
+        if (random.nextInt(40) == 0) {
             headers.put("offering", "unheard-of"); // a message that nobody can map
         }
         broker.publish("in", queue + ".new", headers, props, body);
-        if (requestClass.equals("order-place") && chance.nextInt(6) == 0) {
-            if (chance.nextBoolean()) {
+        if (requestClass.equals("order-place") && random.nextInt(6) == 0) {
+            if (random.nextBoolean()) {
                 // The publisher heard no confirmation and sends it again.
-                time.schedule(chance.nextDouble() * 5,
+                time.schedule(random.nextDouble() * 5,
                         () -> broker.publish("in", queue + ".new", headers, props, body));
             } else {
                 // The same order comes on a caller's connection as well.
-                time.schedule(chance.nextDouble(), () -> callersOrder(number, body));
+                time.schedule(random.nextDouble(), () -> callersOrder(number, body));
             }
         }
     }
 
     private void callersOrder(long number, byte[] body) {
-        Worker to = workers.get(chance.nextInt(workers.size()));
+        Worker to = workers.get(chance.nextInt(2));
         if (to.over) {
             return;
         }
@@ -378,57 +428,57 @@
         });
     }
 
+    /** So much comes that copies wait, come back and wait for a core, while links break again and again. */
+    private void overload(double start, double at, double seconds) {
+        note(at, String.format(Locale.ROOT, "more than both can run comes for %.1f s", seconds));
+        time.schedule(at, () -> load(overloads, start + at + seconds, OVERLOAD_RATE, SHORTEST_RUN_UNDER_OVERLOAD));
+        int cuts = 2 + overloads.nextInt(5);
+        for (int i = 0; i < cuts; i++) {
+            double cutAt = at + 2 * seconds * overloads.nextDouble();
+            Worker w = workers.get(overloads.nextInt(2));
+            note(cutAt, "link of " + w.name + " breaks under overload");
+            time.schedule(cutAt, () -> w.link.cut(0, 0));
+        }
+    }
+
+    private void crash(double at, double brokerNotices, double startsAnewAfter) {
+        note(at, String.format(Locale.ROOT, "b crashes, the broker notices %.1f s later, it starts anew %.1f s later",
+                brokerNotices, startsAnewAfter));
+        time.schedule(at, () -> workers.get(1).crash(brokerNotices));
+        time.schedule(at + startsAnewAfter, () -> workers.add(new Worker("b anew", crashes.split())));
+    }
+
     private void vanish(double at, double seconds) {
         note(at, String.format(Locale.ROOT, "the broker vanishes for %.1f s", seconds));
-        time.schedule(at, () -> workers.forEach(w -> {
-            w.link.brokerIs(false);
-            w.link.cut(0, 0);
-        }));
-        time.schedule(at + seconds, () -> workers.forEach(w -> w.link.brokerIs(true)));
+        time.schedule(at, () -> {
+            brokerUp = false;
+            workers.forEach(w -> {
+                w.link.brokerIs(false);
+                w.link.cut(0, 0);
+            });
+        });
+        time.schedule(at + seconds, () -> {
+            brokerUp = true;
+            workers.forEach(w -> w.link.brokerIs(true));
+        });
     }
 
-    private int left() {
-        return broker.ready("orders") + broker.ready("stock") + broker.ready("orders.later")
-                + broker.ready("stock.later");
+    private List<DeliveryAudit.Holder> holders() {
+        return workers.stream().map(w -> new DeliveryAudit.Holder(w.name, w.leftAt + GRACE,
+                Math.max(w.link.ledgerOut(), w.crashed ? 0 : w.consumer.open()))).toList();
     }
 
-    private List<String> audit() {
-        List<String> breaks = new ArrayList<>();
-        ledger.deliveriesWithoutExactlyOneEnd().forEach(d -> breaks.add("a delivery without exactly one end: " + d));
-        Map<String, List<Run>> byWhat = new LinkedHashMap<>();
-        for (Run r : runs) {
-            String one = r.requestClass().equals("invoice") ? "message " + r.message() : r.instance() + " message "
-                    + r.message();
-            byWhat.computeIfAbsent(one, k -> new ArrayList<>()).add(r);
-        }
-        byWhat.forEach((what, all) -> {
-            for (int i = 1; i < all.size(); i++) {
-                Run first = all.get(i - 1);
-                Run second = all.get(i);
-                if (second.requestClass().equals("invoice")
-                        || second.requestClass().equals("order-place") && second.at() - first.at() < WINDOW) {
-                    breaks.add("a second run of " + what + ": " + first + ", " + second);
-                }
-            }
-        });
-        for (Worker w : workers) {
-            runs.stream().filter(r -> r.instance().equals(w.name) && r.at() > w.leftAt + GRACE + 0.2
-                    && r.arrived() > w.leftAt + GRACE).forEach(r -> breaks.add("run past the grace: " + r));
-            if (w.consumer.open() > 0 || w.link.ledgerOut() > 0) {
-                breaks.add(w.name + " still holds " + w.consumer.open() + " deliveries");
-            }
-        }
+    /** The numbers of the messages that lie on any queue. */
+    private Set<Long> messagesThere() {
         Set<Long> there = new HashSet<>();
         for (String queue : List.of("dead", "orders", "stock", "orders.later", "stock.later")) {
-            for (Message m : broker.waiting(queue)) {
-                there.add(number(m.body()));
-            }
+            broker.waiting(queue).forEach(message -> there.add(number(message.body())));
         }
-        published.forEach((number, requestClass) -> {
-            if (!done.contains(number) && !there.contains(number)) {
-                breaks.add("message " + number + ", " + requestClass + ", is gone and never ran to its end");
-            }
-        });
-        return breaks;
+        return there;
+    }
+
+    private int left() {
+        return broker.ready("orders") + broker.ready("stock") + broker.ready("orders.later")
+                + broker.ready("stock.later");
     }
 }
--- a/src/main/java/topazladder/emulator/MixedTrial.java
+++ b/src/main/java/topazladder/emulator/MixedTrial.java
@@ -13,6 +13,7 @@
 import topazladder.config.QueueSettings.Fields;
 import topazladder.config.SettingsReader;
 import topazladder.delivery.Consumer;
+import topazladder.delivery.RandomRequestIds;
 import topazladder.emulator.Traffic.Wanted;
 import topazladder.request.Outcome;
 import topazladder.service.AdmissionLevel;
@@ -172,7 +173,8 @@
         if (byBroker) {
             VirtualLink link = new VirtualLink("n", time, broker, chance.split(), queues.stream()
                     .map(QueueSettings::queue).toList());
-            Consumer consumer = new Consumer(time, time, machine.dispatcher, machine.counters, chance.split(), link,
+            Consumer consumer = new Consumer(time, time, machine.dispatcher, machine.counters,
+                    new RandomRequestIds(chance.split()), link,
                     machine.terms, queues);
             link.open(consumer);
             look(consumer);
--- a/src/main/java/topazladder/emulator/VirtualLink.java
+++ b/src/main/java/topazladder/emulator/VirtualLink.java
@@ -13,6 +13,7 @@
 import topazladder.broker.Message.Props;
 import topazladder.delivery.BrokerPort;
 import topazladder.delivery.Consumer;
+import topazladder.delivery.DeathHeader;
 import topazladder.delivery.Delivery;
 import topazladder.delivery.Delivery.Properties;
 import topazladder.delivery.FullJitter;
@@ -61,10 +62,14 @@
         brokerUp = up;
     }
 
-    void close() {
+    /** The instance is gone for good; the broker notices after its own time. */
+    void crash(double brokerNotices) {
         over = true;
+        clientSees = false;
         generation++;
-        channels.values().forEach(Channel::close);
+        List<Channel> old = new ArrayList<>(channels.values());
+        channels = new LinkedHashMap<>();
+        time.schedule(brokerNotices, () -> old.forEach(Channel::close));
     }
 
     int ledgerOut() {
@@ -172,19 +177,17 @@
 
     private static Delivery delivery(String queue, long tag, boolean again, Message m) {
         Map<String, String> headers = new LinkedHashMap<>();
-        int deaths = 0;
         for (Map.Entry<String, Object> h : m.headers().entrySet()) {
-            if (h.getKey().equals("x-death")) {
-                // What waited on purpose died of its time; that is no try that failed.
-                continue;
+            if (!h.getKey().equals(DeathHeader.NAME)) {
+                headers.put(h.getKey(), String.valueOf(h.getValue()));
             }
-            headers.put(h.getKey(), String.valueOf(h.getValue()));
         }
         Props p = m.props();
         return new Delivery(queue, tag, again, m.exchange(), m.routingKey(), headers, new Properties(p.messageId(),
                 p.correlationId(), p.replyTo(), p.type(), p.expiration() == null ? 0
                         : Double.parseDouble(p.expiration()) / 1000,
-                p.timestamp() == null ? 0 : p.timestamp(), p.priority() == null ? -1 : p.priority()), deaths, m.body());
+                p.timestamp() == null ? 0 : p.timestamp(), p.priority() == null ? -1 : p.priority()),
+                DeathHeader.rejections(m.headers().get(DeathHeader.NAME)), m.body());
     }
 
     // ---- The port
--- a/src/main/java/topazladder/net/amqp/AmqpLink.java
+++ b/src/main/java/topazladder/net/amqp/AmqpLink.java
@@ -40,6 +40,7 @@
 import topazladder.config.QueueSettings.Route;
 import topazladder.delivery.BrokerPort;
 import topazladder.delivery.Consumer;
+import topazladder.delivery.DeathHeader;
 import topazladder.delivery.Delivery;
 import topazladder.delivery.Delivery.Properties;
 import topazladder.delivery.FullJitter;
@@ -434,11 +435,11 @@
 
     private static Delivery delivery(String queue, Envelope e, BasicProperties p, byte[] body) {
         Map<String, String> headers = new LinkedHashMap<>();
-        int deaths = 0;
+        int rejections = 0;
         if (p.getHeaders() != null) {
             for (Map.Entry<String, Object> h : p.getHeaders().entrySet()) {
-                if (h.getKey().equals("x-death")) {
-                    deaths = deaths(h.getValue());
+                if (h.getKey().equals(DeathHeader.NAME)) {
+                    rejections = DeathHeader.rejections(h.getValue());
                 } else if (!h.getKey().equals(NUMBER)) {
                     headers.put(h.getKey(), String.valueOf(h.getValue()));
                 }
@@ -448,21 +449,7 @@
                 new Properties(p.getMessageId(), p.getCorrelationId(), p.getReplyTo(), p.getType(),
                         seconds(p.getExpiration()), p.getTimestamp() == null ? 0 : p.getTimestamp().getTime() / 1000.0,
                         p.getPriority() == null ? -1 : p.getPriority()),
-                deaths, body);
-    }
-
-    /** What was rejected counts as a try; what expired may have waited on purpose. */
-    private static int deaths(Object header) {
-        int count = 0;
-        if (header instanceof List<?> list) {
-            for (Object o : list) {
-                if (o instanceof Map<?, ?> d && "rejected".equals(String.valueOf(d.get("reason")))
-                        && d.get("count")instanceof Number n) {
-                    count += Math.min(1000, n.intValue());
-                }
-            }
-        }
-        return count;
+                rejections, body);
     }
 
     private static double seconds(String milliseconds) {
--- a/src/main/java/topazladder/net/amqp/AmqpNode.java
+++ b/src/main/java/topazladder/net/amqp/AmqpNode.java
@@ -12,6 +12,7 @@
 import topazladder.config.ExtensionSettings;
 import topazladder.config.ServiceSettings;
 import topazladder.delivery.Consumer;
+import topazladder.delivery.RandomRequestIds;
 import topazladder.lease.LeasedTask;
 import topazladder.service.Counters;
 import topazladder.service.InstanceExtension;
@@ -44,8 +45,8 @@
         var loop = vertx.getOrCreateContext();
         for (BrokerSettings b : own.brokers()) {
             AmqpLink link = new AmqpLink(vertx, loop, b, counters, chance.split());
-            sources.put(b.name(), new Source(b, link, new Consumer(clock, timers, dispatcher, counters, chance.split(),
-                    link,
+            sources.put(b.name(), new Source(b, link, new Consumer(clock, timers, dispatcher, counters,
+                    new RandomRequestIds(chance.split()), link,
                     terms.terms(), b.queues())));
         }
     }
