Number a deferred copy above the message that it replaces, whatever x-death counted

It had been rejected by another consumer before, was deferred, and its copy was in hand as the link to the broker broke.

Cause: a message is known by queue, id, number of tries and body, and its number counts what x-death counts. The copy's number left that part out ("stays in that header"), but a copy is published without x-death. So the copy had its original's number (one rejection; with more, a later copy had it), the original was known as settled, and the copy that came again was acknowledged as the original. The bound on tries was missed by as much.

Change: the copy's header has all tries and one more. That closes it because copies have no x-death of their own, so that each one's number is above all numbers of the messages it stems from, and a record of one of those is never its own. A rejection of the copy elsewhere only raises it.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -360,8 +360,8 @@
                 Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
                 headers.putIfAbsent(Mapping.FIRST_EXCHANGE, o.delivery.exchange());
                 headers.putIfAbsent(Mapping.FIRST_KEY, o.delivery.routingKey());
-                // What x-death counts stays in that header; this one counts the rest.
-                headers.put(Mapping.TRIES, String.valueOf(tries(o) - o.delivery.rejections() + 1));
+                // All tries: a copy has no x-death, and must not bear the number of what it replaces.
+                headers.put(Mapping.TRIES, String.valueOf(tries(o) + 1));
                 copy(o, o.queue.terms.delayRoute(), headers, Math.max(LEAST_DELAY, stayAway));
             }
             case DEAD_LETTER -> {
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -20,6 +20,7 @@
 import topazladder.config.QueueSettings.Route;
 import topazladder.config.SettingsReader;
 import topazladder.delivery.Consumer;
+import topazladder.delivery.DeathHeader;
 import topazladder.delivery.RandomRequestIds;
 import topazladder.request.Outcome;
 import topazladder.service.AdmissionLevel;
@@ -35,8 +36,9 @@
 
 /**
  * Two instances that consume from one broker in virtual time while links break, brokers vanish, more comes than both
- * can run, and instances leave or crash and start anew, by a schedule that a seed draws. What ran where is written down
- * by the machines, what became of each delivery by the broker; {@link DeliveryAudit} reads both.
+ * can run, and instances leave or crash and start anew, by a schedule that a seed draws. Some messages had been
+ * rejected elsewhere before. What ran where is written down by the machines, what became of each delivery by the
+ * broker; {@link DeliveryAudit} reads both.
  */
 public final class DeliveryTrial {
     private static final double LOAD_FOR = 20;
@@ -340,6 +342,10 @@
                 + number,
                 // Some publishers' clocks are wrong by a day.
                 (long) time.getAsDouble() + (random.nextInt(5) == 0 ? 86_400 : 0), null, null, null);
+        if (histories.nextInt(4) == 0) {
+            headers.put(DeathHeader.NAME, List.of(Map.of("queue", "inbox", "reason", "rejected", "count",
+                    1L + histories.nextInt(2), "exchange", "")));
+        }
         published.put(number, requestClass);
         if (random.nextInt(40) == 0) {
             headers.put("offering", "unheard-of"); // a message that nobody can map
--- a/src/test/java/topazladder/AmqpServiceTest.java
+++ b/src/test/java/topazladder/AmqpServiceTest.java
@@ -278,6 +278,26 @@
         assertThat(ledger.deliveriesWithoutExactlyOneEnd()).isEmpty();
     }
 
+    // A copy has no x-death: counted without what that header counted, it bore the number of the message it replaced.
+    @Test
+    void copyOfAMessageThatWasRejectedElsewhereBearsTheNumberOfAllItsTries() throws Exception {
+        serve("user: \"desk\" password_file: \"password\"");
+        publish("1", "read", null, "one", null);
+        passes(begins("read", "one"), "x"); // the window opens as it ends
+        publish("2", "read", null, "two", null);
+        String second = begins("read", "two");
+        onLoop(() -> broker.publish("", "orders", Map.of("offering", "invoice", "x-death",
+                List.of(Map.of("queue", "inbox", "reason", "rejected", "count", 1L, "exchange", ""))),
+                new Props(null, 2, null, null, null, null, "3", null, null, null, null), "bill".getBytes(
+                        StandardCharsets.UTF_8)));
+        until(() -> count(What.DELIVERED) == 3);
+        service.leave();
+        until(() -> broker.ready("orders") == 1 && count(What.EXPIRED) == 1);
+        assertThat(onLoop(() -> broker.waiting("orders").get(0).headers().get("x-topazladder-tries"))).isEqualTo("2");
+        passes(second, "x");
+        assertThat(exit.get(20, TimeUnit.SECONDS)).isZero();
+    }
+
     @Test
     void theBrokerVanishesInTheMiddleOfADrainAndTheInstanceEndsInTime() throws Exception {
         serve("user: \"desk\" password_file: \"password\"");
