Number a dead letter above the message that it replaces, as it may be sent again

A message that was given up unrun is sent again from the dead-letter queue, as docs/amqp.md speaks of; a link breaks while it is in hand, and as it comes again it is acknowledged. It never ran and lies on no queue. Without a delay route it needs no break: what goes back to the queue comes again as redelivered.

Cause: as for deferred copies, the copy on the dead-letter route bore the number of tries of the message that it replaces, which is known as settled by queue, id, number and body for 300 s.

Change: a dead letter's number counts the try that ended in it, like a deferred copy's; one that could not be mapped has no try, is not remembered, and keeps its headers. That closes it as there: no successor of a message has a number that it or a predecessor had. Numbers up to 1,000,000 are read (999 before), since each time one is sent again it grows.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -360,8 +360,7 @@
                 Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
                 headers.putIfAbsent(Mapping.FIRST_EXCHANGE, o.delivery.exchange());
                 headers.putIfAbsent(Mapping.FIRST_KEY, o.delivery.routingKey());
-                // All tries: a copy has no x-death, and must not bear the number of what it replaces.
-                headers.put(Mapping.TRIES, String.valueOf(tries(o) + 1));
+                countThisTry(o, headers);
                 copy(o, o.queue.terms.delayRoute(), headers, Math.max(LEAST_DELAY, stayAway));
             }
             case DEAD_LETTER -> {
@@ -374,12 +373,20 @@
                     Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
                     headers.put(REASON, outcome.why().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": "
                             + reason);
+                    if (o.mapped.why() == null) {
+                        countThisTry(o, headers); // it may be sent again
+                    }
                     copy(o, route, headers, 0);
                 }
             }
         }
     }
 
+    /** All tries: a copy has no x-death, and must not bear the number of what it replaces. */
+    private void countThisTry(Open o, Map<String, String> headers) {
+        headers.put(Mapping.TRIES, String.valueOf(tries(o) + 1));
+    }
+
     private void copy(Open o, Route route, Map<String, String> headers, double delay) {
         publish(o, new Publication(route.exchange(), route.routingKey().isEmpty() ? o.delivery.routingKey()
                 : route.routingKey(), headers, o.delivery.properties(), delay, o.delivery.body()));
--- a/src/main/java/topazladder/delivery/Mapping.java
+++ b/src/main/java/topazladder/delivery/Mapping.java
@@ -12,7 +12,7 @@
 
 /** Makes a request of a message, or says why it is none. It never guesses: what is missing or wild has no default. */
 final class Mapping {
-    /** Set on the copies that wait: how often the message was tried. */
+    /** Set on copies, those that wait and those that are dead-lettered: how often the message was tried. */
     static final String TRIES = "x-topazladder-tries";
     /** Where a copy that waits came from at first: the way back changes both. */
     static final String FIRST_EXCHANGE = "x-topazladder-exchange";
@@ -20,6 +20,7 @@
     private static final double LARGEST_FOOTPRINT = 2000;
     private static final double LEAST_FOOTPRINT = 2;
     private static final int LONGEST_WORD = 200;
+    private static final int MAX_TRIES = 1_000_000;
 
     /** A request, or why there is none. */
     record Mapped(IncomingRequest arrival, RequestClass requestClass, int tries, String why) {
@@ -72,7 +73,7 @@
             return Mapped.none("a footprint that is none");
         }
         double tries = number(d.headers().get(TRIES), 0);
-        if (!(tries >= 0 && tries < 1000)) {
+        if (!(tries >= 0 && tries <= MAX_TRIES)) {
             return Mapped.none("a number of tries that is none");
         }
         int tried = (int) tries + d.rejections();
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import topazladder.broker.Broker;
 import topazladder.broker.Ledger;
+import topazladder.broker.Message;
 import topazladder.broker.Message.Props;
 import topazladder.config.FieldSource;
 import topazladder.config.QueueSettings;
@@ -37,8 +38,8 @@
 /**
  * Two instances that consume from one broker in virtual time while links break, brokers vanish, more comes than both
  * can run, and instances leave or crash and start anew, by a schedule that a seed draws. Some messages had been
- * rejected elsewhere before. What ran where is written down by the machines, what became of each delivery by the
- * broker; {@link DeliveryAudit} reads both.
+ * rejected elsewhere before, and some dead letters are sent again. What ran where is written down by the machines,
+ * what became of each delivery by the broker; {@link DeliveryAudit} reads both.
  */
 public final class DeliveryTrial {
     private static final double LOAD_FOR = 20;
@@ -47,6 +48,8 @@
     private static final double SHORTEST_RUN = 0.05;
     private static final double SHORTEST_RUN_UNDER_OVERLOAD = 0.6;
     private static final double OVERLOAD_RATE = 30;
+    /** The last dead letters are sent again in time for what becomes of them. */
+    private static final double DEAD_LETTERS_SENT_UNTIL = 40;
 
     private static final String SETTINGS = """
         Classes.count=3
@@ -93,6 +96,7 @@
     private final SplittableRandom histories;
     private final SplittableRandom crashes;
     private final SplittableRandom overloads;
+    private final DeadLetterOperator deadLetterOperator = new DeadLetterOperator(broker, "dead");
     private final boolean delaysStock;
     private boolean brokerUp = true;
     private long lastNumber;
@@ -262,6 +266,7 @@
         double rate = 4 + chance.nextDouble() * 20;
         load(chance, start + LOAD_FOR, rate, SHORTEST_RUN);
         if (faults) {
+            sendDeadLettersAgain();
             if (crashes.nextInt(3) == 0) {
                 crash(crashes.nextDouble() * LOAD_FOR, crashes.nextDouble() * 2, 0.5 + 3 * crashes.nextDouble());
             }
@@ -454,6 +459,28 @@
         time.schedule(at + startsAnewAfter, () -> workers.add(new Worker("b anew", crashes.split())));
     }
 
+    /**
+     * Links may break just then. What must run once at most or has begun is never sent: nobody could tell whether it
+     * had its effect.
+     */
+    private void sendDeadLettersAgain() {
+        double at = histories.nextDouble();
+        while (at < DEAD_LETTERS_SENT_UNTIL) {
+            time.schedule(at, () -> {
+                if (deadLetterOperator.sendAgain(this::neverBegan, "in") > 0 && histories.nextBoolean()) {
+                    Worker w = workers.get(histories.nextInt(workers.size()));
+                    time.schedule(0.5 * histories.nextDouble(), () -> w.link.cut(0, 0));
+                }
+            });
+            at += 0.5 + 2 * histories.nextDouble();
+        }
+    }
+
+    private boolean neverBegan(Message message) {
+        long number = number(message.body());
+        return !published.get(number).equals("invoice") && runs.stream().noneMatch(run -> run.message() == number);
+    }
+
     private void vanish(double at, double seconds) {
         note(at, String.format(Locale.ROOT, "the broker vanishes for %.1f s", seconds));
         time.schedule(at, () -> {
--- a/src/test/java/topazladder/delivery/ConsumerTest.java
+++ b/src/test/java/topazladder/delivery/ConsumerTest.java
@@ -126,6 +126,28 @@
         assertThat(toBroker).containsExactly("stop", "publish to later", "acknowledge", "publish to dead");
     }
 
+    // A dead letter bore the number of tries of its original: sent again by whoever looked at it, it was acknowledged
+    // unrun when it came again.
+    @ParameterizedTest
+    @ValueSource(strings = {"prices", "place"})
+    void deadLetterThatIsSentAgainAndComesAgainIsNotTakenForTheMessageThatItReplaces(String requestClass) {
+        Map<String, String> headers = Map.of("offering", requestClass, "mark", "m", Mapping.TRIES,
+                String.valueOf(MAX_ATTEMPTS - 1));
+        for (int sent = 0; sent < 3; sent++) {
+            toBroker.clear();
+            consumer.delivered(delivery(headers, sent > 0, NEVER_REJECTED));
+            headers = confirmLastCopy(consumer);
+            assertThat(toBroker).containsExactly("publish to dead", "acknowledge");
+            assertThat(headers).containsEntry(Mapping.TRIES, String.valueOf(MAX_ATTEMPTS + sent));
+        }
+    }
+
+    @Test
+    void deadLetterOfAMessageThatCannotBeMappedKeepsItsHeaders() {
+        consumer.delivered(delivery(Map.of("offering", "unheard-of", Mapping.TRIES, "none"), false, NEVER_REJECTED));
+        assertThat(confirmLastCopy(consumer)).containsEntry(Mapping.TRIES, "none");
+    }
+
     @Test
     void messageWhoseAcknowledgementWasLostIsAcknowledgedAgainAndNotCopiedAgain() {
         for (String requestClass : List.of("prices", "place", "invoice")) {
--- a/src/test/java/topazladder/delivery/DeliveryTest.java
+++ b/src/test/java/topazladder/delivery/DeliveryTest.java
@@ -143,6 +143,14 @@
         assertThat(o.what() + " " + o.why()).isEqualTo(what + " " + why);
     }
 
+    @Test
+    void deadLetterIsMappedHoweverOftenItWasSentAgain() {
+        assertThat(map(delivery("place", "new.acme", id("F"), new byte[1], Mapping.TRIES, "1000"), terms(null, null,
+                false)).tries()).isEqualTo(1000);
+        assertThat(map(delivery("place", "new.acme", id("F"), new byte[1], Mapping.TRIES, "-1"), terms(null, null,
+                false)).why()).isEqualTo("a number of tries that is none");
+    }
+
     @Test
     void aCopyThatWaitedIsMappedByWhereItCameFromAtFirst() {
         assertThat(map(delivery("place", "q", id("F"), new byte[1], Mapping.FIRST_KEY, "new.acme"),
