Tell a message that this instance returned or lost in hand from one that it settled

A message is published anew with the id and body of one that was given up lately, without the headers of its dead letter. It is rejected for load and goes back to its queue, or is in hand as a link breaks, and as it comes again it is acknowledged unrun. On a queue without a delay route this needs no broken link at all. Beside it, such a message inherited the returns of the earlier one and was given up at its first rejection.

Cause: a record of what was settled was believed of any redelivered message of that key. But the instance knows what it returned, handed back, rejected or had in hand as the link broke, and that the broker brings this again.

Change: such endings are counted beside the record, and a redelivered message is acknowledged again only when none of them is outstanding; else it is judged as one of which nothing is known, by what its request class allows. A run that ends behind its link takes its own back. Returns end with the settlement. That closes it because each delivery that reached the instance is either settled or counted.

Tests, failed before: ConsumerTest.messageThatThisInstanceReturned..., ConsumerTest.messageThatWasInHandAsTheLinkBroke.... A third of the schedules have one consumer and dead letters sent again as published.

Every delivery that reached a consumer is audited as before.

--- a/src/main/java/topazladder/delivery/Consumer.java
+++ b/src/main/java/topazladder/delivery/Consumer.java
@@ -167,7 +167,7 @@
         if (q.open.size() >= q.prefetch.window()) {
             q.prefetch.filled();
         }
-        Settlement before = m.why() == null && d.redelivered() ? remembered.settlement(d, m.tries(), now) : null;
+        Settlement before = m.why() == null && d.redelivered() ? settlementBefore(d, m.tries(), now) : null;
         if (m.why() != null) {
             settle(o, Outcomes.dead(Why.NOT_MAPPED), m.why());
         } else if (before != null) {
@@ -182,6 +182,15 @@
         }
     }
 
+    /** How it was settled if this is its acknowledgement that was lost, or null. */
+    private Settlement settlementBefore(Delivery d, int tries, double now) {
+        Settlement before = remembered.settlement(d, tries, now);
+        if (before == null) {
+            remembered.noLongerUnsettled(d, tries);
+        }
+        return before;
+    }
+
     /** Its acknowledgement was lost on the way. */
     private void acknowledgeAgain(Open o, Settlement before) {
         LOG.info("broker delivery acknowledged again queue={} message_id={} tries={} rejections={} settled_by={}"
@@ -232,6 +241,7 @@
             counters.add(Count.DELIVERIES_LOST);
             Phase was = o.phase;
             o.phase = Phase.LOST;
+            rememberUnsettled(o);
             letGo(o);
             // One without an effect is run again when it comes again; one with an effect goes on, and its result is
             // kept.
@@ -263,8 +273,7 @@
         } else {
             // No route to where it should wait: the queue's own dead-lettering is what is left.
             counters.add(Count.DELIVERIES_DEAD_LETTERED);
-            close(o);
-            port.reject(o.queue.terms.queue(), o.delivery.tag(), false);
+            reject(o, false);
         }
     }
 
@@ -274,6 +283,7 @@
         o.queue.prefetch.ended(status == Status.REJECTED);
         if (o.phase == Phase.LOST) {
             if (status == Status.SERVED) {
+                remembered.noLongerUnsettled(o.delivery, o.mapped.tries());
                 remembered.settled(o.delivery, o.mapped.tries(),
                         new Settlement(What.ACKNOWLEDGE, o.delivery.rejections()), clock.getAsDouble());
             }
@@ -336,14 +346,12 @@
 
     private void settle(Open o, Outcome outcome, String reason, double stayAway) {
         double now = clock.getAsDouble();
-        String queue = o.queue.terms.queue();
         o.outcome = outcome.what();
         switch (outcome.what()) {
             case ACKNOWLEDGE -> acknowledge(o);
             case HAND_BACK -> {
                 counters.add(Count.DELIVERIES_HANDED_BACK);
-                close(o);
-                port.reject(queue, o.delivery.tag(), true);
+                reject(o, true);
             }
             case RETURN -> {
                 o.phase = Phase.AWAITING_TURN;
@@ -351,8 +359,7 @@
                 timers.schedule(Math.max(stayAway, o.queue.returns.turn(now)), () -> {
                     if (o.phase == Phase.AWAITING_TURN) {
                         counters.add(Count.DELIVERIES_REQUEUED);
-                        close(o);
-                        port.reject(queue, o.delivery.tag(), true);
+                        reject(o, true);
                     }
                 });
             }
@@ -367,8 +374,7 @@
                 Route route = o.queue.terms.deadLetterRoute();
                 if (route == null) {
                     counters.add(Count.DELIVERIES_DEAD_LETTERED);
-                    close(o);
-                    port.reject(queue, o.delivery.tag(), false);
+                    reject(o, false);
                 } else {
                     Map<String, String> headers = new LinkedHashMap<>(o.delivery.headers());
                     headers.put(REASON, outcome.why().name().toLowerCase(Locale.ROOT).replace('_', ' ') + ": "
@@ -418,6 +424,18 @@
         port.acknowledge(o.queue.terms.queue(), o.delivery.tag());
     }
 
+    private void reject(Open o, boolean back) {
+        rememberUnsettled(o);
+        close(o);
+        port.reject(o.queue.terms.queue(), o.delivery.tag(), back);
+    }
+
+    private void rememberUnsettled(Open o) {
+        if (o.mapped.why() == null) {
+            remembered.unsettled(o.delivery, o.mapped.tries(), clock.getAsDouble());
+        }
+    }
+
     private void close(Open o) {
         if (o.phase == Phase.SETTLED || o.phase == Phase.LOST) {
             throw new IllegalStateException("a second outcome for " + o.delivery.tag() + " of " + o.delivery.queue());
--- a/src/main/java/topazladder/delivery/Remembered.java
+++ b/src/main/java/topazladder/delivery/Remembered.java
@@ -7,8 +7,9 @@
 
 /**
  * What became of messages lately, so that one whose acknowledgement was lost is settled when it comes again, and not
- * run. A message is known by its id, its try and its body: a copy that waited is another try, and two bodies under one
- * id are two messages. Without an id nothing is remembered.
+ * run. A message is known by its id, its try and its body: a copy is another try, and two bodies under one id are two
+ * messages. Where the same message is published twice, one may be settled and the other not: those that ended here
+ * unsettled are counted. Without an id nothing is remembered.
  */
 final class Remembered {
     /** Seconds; a broker that was gone for longer brings back messages of which nothing is known any more. */
@@ -29,6 +30,7 @@
         double since;
         Settlement settlement; // null until it is settled
         int returns;
+        int unsettled; // deliveries that ended here unsettled, each of which comes again once at most
     }
 
     private record Key(String queue, String id, int tries, long body) {
@@ -65,17 +67,35 @@
 
     /** Nothing more is to be done for it but to acknowledge it. */
     void settled(Delivery d, int tries, Settlement settlement, double now) {
-        entry(d, tries, now).settlement = settlement;
+        Entry e = entry(d, tries, now);
+        e.settlement = settlement;
+        e.returns = 0;
+    }
+
+    /** It ended here without an outcome that settles it: it may come again, and is not the one that was settled. */
+    void unsettled(Delivery d, int tries, double now) {
+        entry(d, tries, now).unsettled++;
+    }
+
+    /** It came again, or what became of it is known after all. */
+    void noLongerUnsettled(Delivery d, int tries) {
+        Entry e = entries.get(key(d, tries));
+        if (e != null && e.unsettled > 0) {
+            e.unsettled--;
+        }
     }
 
     void returned(Delivery d, int tries, double now) {
         entry(d, tries, now).returns++;
     }
 
-    /** How it was settled lately, or null where that is not known. */
+    /**
+     * How it was settled lately, or null where that is not known, or where one that is known by the same key ended here
+     * unsettled: this may be that one.
+     */
     Settlement settlement(Delivery d, int tries, double now) {
         Entry e = entries.get(key(d, tries));
-        return e == null || e.since < now - KEPT ? null : e.settlement;
+        return e == null || e.since < now - KEPT || e.unsettled > 0 ? null : e.settlement;
     }
 
     /** How often it went back to its queue from here. */
--- a/src/main/java/topazladder/emulator/DeliveryTrial.java
+++ b/src/main/java/topazladder/emulator/DeliveryTrial.java
@@ -98,6 +98,11 @@
     private final SplittableRandom overloads;
     private final DeadLetterOperator deadLetterOperator = new DeadLetterOperator(broker, "dead");
     private final boolean delaysStock;
+    /**
+     * Whether only the first instance consumes, and dead letters are sent again as their publisher had sent them. One
+     * of which nobody saw the first delivery can't be told from its original then, so links lose none on the way.
+     */
+    private final boolean alone;
     private boolean brokerUp = true;
     private long lastNumber;
 
@@ -108,6 +113,7 @@
         crashes = new SplittableRandom(seed ^ CRASHES_SEED);
         overloads = new SplittableRandom(seed ^ OVERLOADS_SEED);
         delaysStock = histories.nextInt(4) > 0;
+        alone = histories.nextInt(3) == 0;
     }
 
     /** One instance with its machine, its dependency and its link. */
@@ -138,12 +144,16 @@
             instance = new InstanceLifecycle(name, own.nextLong(), 6, time, dispatcher, this, time, () -> over = true);
             instance.listenersOpened();
             instance.runtimeConnected(false);
-            link = new VirtualLink(name, time, broker, own.split(), List.of("orders", "stock"));
+            link = new VirtualLink(name, time, broker, own.split(),
+                    alone && !name.equals("a") ? List.of() : List.of("orders", "stock"));
             consumer =
                     new Consumer(time, time, dispatcher, counters, recordedIds(own.split()), link,
                             SettingsReader.ofLines(SETTINGS),
                             List.of(terms("orders", true), terms("stock", delaysStock)));
             link.brokerIs(brokerUp);
+            if (alone) {
+                link.keepWhatIsOnItsWay();
+            }
             link.open(consumer);
             look();
         }
@@ -467,8 +477,9 @@
         double at = histories.nextDouble();
         while (at < DEAD_LETTERS_SENT_UNTIL) {
             time.schedule(at, () -> {
-                if (deadLetterOperator.sendAgain(this::neverBegan, "in") > 0 && histories.nextBoolean()) {
-                    Worker w = workers.get(histories.nextInt(workers.size()));
+                if (deadLetterOperator.sendAgain(this::neverBegan, "in", alone) > 0
+                        && (alone || histories.nextBoolean())) {
+                    Worker w = workers.get(alone ? 0 : histories.nextInt(workers.size()));
                     time.schedule(0.5 * histories.nextDouble(), () -> w.link.cut(0, 0));
                 }
             });
--- a/src/main/java/topazladder/emulator/VirtualLink.java
+++ b/src/main/java/topazladder/emulator/VirtualLink.java
@@ -23,6 +23,8 @@
  * and cut at any moment, when all that is under way is lost. The two ends may notice a cut at different times.
  */
 final class VirtualLink implements BrokerPort {
+    private static final double RETRY_SECONDS = 0.0001;
+
     private final String who;
     private final Timeline time;
     private final Broker broker;
@@ -35,6 +37,8 @@
     private int generation;
     private boolean clientSees;
     private boolean brokerUp = true;
+    private boolean keepsWhatIsOnItsWay;
+    private int onItsWayToClient;
     private boolean over;
     private double latency = 0.001;
     private double lastToBroker;
@@ -111,7 +115,7 @@
 
     /** The link breaks now; each end notices after its own time. */
     void cut(double brokerNotices, double clientNotices) {
-        if (!clientSees) {
+        if (!clientSees || isPostponed(() -> cut(brokerNotices, clientNotices))) {
             return;
         }
         int mine = ++generation;
@@ -129,6 +133,9 @@
 
     /** One channel ends with an error; the others go on. */
     void channelError(String queue) {
+        if (isPostponed(() -> channelError(queue))) {
+            return;
+        }
         Channel c = channels.remove(queue);
         if (c != null) {
             c.close();
@@ -142,9 +149,24 @@
         }
     }
 
+    /** From now on it breaks only in moments in which nothing is on its way to the consumer. */
+    void keepWhatIsOnItsWay() {
+        keepsWhatIsOnItsWay = true;
+    }
+
+    private boolean isPostponed(Runnable harm) {
+        boolean postponed = keepsWhatIsOnItsWay && onItsWayToClient > 0;
+        if (postponed) {
+            time.schedule(RETRY_SECONDS, harm);
+        }
+        return postponed;
+    }
+
     private void toClient(int mine, Runnable what) {
+        onItsWayToClient++;
         lastToClient = Math.max(lastToClient, time.getAsDouble() + latency * (0.5 + chance.nextDouble()));
         time.schedule(lastToClient - time.getAsDouble(), () -> {
+            onItsWayToClient--;
             if (mine == generation) {
                 what.run();
             }
--- a/src/test/java/topazladder/delivery/ConsumerTest.java
+++ b/src/test/java/topazladder/delivery/ConsumerTest.java
@@ -41,16 +41,21 @@
 
     private final List<String> toBroker = new ArrayList<>();
     private final List<Publication> publications = new ArrayList<>();
+    private final List<Runnable> timers = new ArrayList<>();
     private final Consumer consumer = consumer(true);
 
     private Consumer consumer(boolean runUnknownRedelivered) {
+        return consumer(runUnknownRedelivered, new Route("later", "orders"));
+    }
+
+    private Consumer consumer(boolean runUnknownRedelivered, Route delayRoute) {
         Fields fields = new Fields(FieldSource.of("", "header:offering"), null, FieldSource.of("", "header:mark"), null,
                 null, false);
-        QueueSettings queue = new QueueSettings("orders", fields, 8, MAX_ATTEMPTS, 100, new Route("later", "orders"),
+        QueueSettings queue = new QueueSettings("orders", fields, 8, MAX_ATTEMPTS, 100, delayRoute,
                 new Route("dead", "orders"), 10, runUnknownRedelivered);
         Counters counters = new Counters();
         RequestDispatcher dispatcher = new RequestDispatcher(() -> NOW, SETTINGS, null, null, null, null, counters);
-        return new Consumer(() -> NOW, (seconds, task) -> {}, dispatcher, counters, () -> "request",
+        return new Consumer(() -> NOW, (seconds, task) -> timers.add(task), dispatcher, counters, () -> "request",
                 new RecordingBroker(), SETTINGS, List.of(queue));
     }
 
@@ -148,6 +153,44 @@
         assertThat(confirmLastCopy(consumer)).containsEntry(Mapping.TRIES, "none");
     }
 
+    // A message of the same id and body, sent anew without the headers of a dead letter, was acknowledged unrun once
+    // it came back from where this instance itself had put it.
+    @Test
+    void messageThatThisInstanceReturnedIsNotTakenForAnEarlierOneOfItsIdThatWasDeadLettered() {
+        Consumer returns = consumer(true, null);
+        Delivery message = delivery("prices", false);
+        for (int tries = 1; tries < MAX_ATTEMPTS; tries++) {
+            returns.delivered(message);
+            timers.remove(0).run();
+            message = delivery("prices", true);
+        }
+        returns.delivered(message);
+        confirmLastCopy(returns);
+        toBroker.clear();
+        returns.delivered(delivery("prices", false));
+        timers.remove(0).run();
+        returns.delivered(delivery("prices", true));
+        timers.remove(0).run();
+        assertThat(toBroker).containsExactly("hand back", "hand back");
+    }
+
+    @Test
+    void messageThatWasInHandAsTheLinkBrokeIsNotTakenForAnEarlierOneOfItsIdThatWasDeadLettered() {
+        Delivery first = delivery(Map.of("offering", "prices", Mapping.TRIES, String.valueOf(MAX_ATTEMPTS - 1)), false,
+                NEVER_REJECTED);
+        consumer.delivered(first);
+        confirmLastCopy(consumer);
+        toBroker.clear();
+        consumer.delivered(first);
+        consumer.linkLost();
+        consumer.delivered(delivery(first.headers(), true, NEVER_REJECTED));
+        assertThat(toBroker).containsExactly("publish to dead", "publish to dead");
+        confirmLastCopy(consumer);
+        consumer.linkLost();
+        consumer.delivered(delivery(first.headers(), true, NEVER_REJECTED));
+        assertThat(toBroker).as("this one's acknowledgement was lost").endsWith("acknowledge", "acknowledge");
+    }
+
     @Test
     void messageWhoseAcknowledgementWasLostIsAcknowledgedAgainAndNotCopiedAgain() {
         for (String requestClass : List.of("prices", "place", "invoice")) {
